--- /dev/null
+++ b/Fakes/FakePlatform.cpp
@@ -0,0 +1,158 @@
+#include "FakePlatform.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+
+namespace Guavalock
+{
+
+namespace Asio = boost::asio;
+
+namespace
+{
+
+constexpr double appendsPerSecond = 400;
+constexpr std::chrono::hours retention{6};
+constexpr std::size_t readLimit = 1000;
+constexpr std::string_view base = "/v1/logs/";
+
+std::int64_t nowMilliseconds()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+std::uint64_t queryNumber(const std::string &target, const std::string &name)
+{
+    const std::size_t at = target.find(name + "=");
+    return at == std::string::npos ? 0 : std::strtoull(target.c_str() + at + name.size() + 1, nullptr, 10);
+}
+
+} // namespace
+
+FakePlatform::FakePlatform(const Asio::any_io_executor &executor, std::uint16_t port)
+    : m_strand(Asio::make_strand(executor))
+    , m_server(m_strand, port, [this](FakeServer::Socket &socket, FakeServer::Request request) { return handle(socket, std::move(request)); })
+{
+}
+
+void FakePlatform::start()
+{
+    m_server.open();
+}
+
+void FakePlatform::setOutage(bool outage)
+{
+    m_outage = outage;
+}
+
+void FakePlatform::setLostAnswers(double share)
+{
+    m_lostAnswers = share;
+}
+
+std::size_t FakePlatform::recordCount(const std::string &stream)
+{
+    return stream == "keys" ? m_keyRecords : m_configurationRecords;
+}
+
+FakePlatform::Stream &FakePlatform::stream(const std::string &name)
+{
+    Stream &stream = m_streams[name];
+    if (!stream.changed) {
+        stream.changed = std::make_shared<Asio::steady_timer>(m_strand);
+    }
+    return stream;
+}
+
+Asio::awaitable<bool> FakePlatform::handle(FakeServer::Socket &socket, FakeServer::Request request)
+{
+    const std::string target(request.target());
+    if (m_outage) {
+        co_return false;
+    }
+    if (!target.starts_with(base)) {
+        co_return co_await FakeServer::send(socket, FakeServer::json(404, "{}"));
+    }
+    const std::string name = target.substr(base.size(), target.find('?') - base.size());
+    if (request.method_string() == "POST") {
+        co_return co_await append(socket, name, request.body());
+    }
+    co_return co_await read(socket, name, queryNumber(target, "from"), std::chrono::milliseconds(queryNumber(target, "wait_ms")));
+}
+
+bool FakePlatform::takeToken()
+{
+    const auto now = std::chrono::steady_clock::now();
+    m_tokens = std::min(appendsPerSecond, m_tokens + std::chrono::duration<double>(now - m_tokensAt).count() * appendsPerSecond);
+    m_tokensAt = now;
+    if (m_tokens < 1) {
+        return false;
+    }
+    m_tokens -= 1;
+    return true;
+}
+
+Asio::awaitable<bool> FakePlatform::append(FakeServer::Socket &socket, const std::string &name, const std::string &body)
+{
+    if (!takeToken()) {
+        co_return co_await FakeServer::send(socket, FakeServer::json(429, "{}"));
+    }
+    Stream &log = stream(name);
+    const std::uint64_t first = log.next;
+    const boost::json::value request = boost::json::parse(body);
+    for (const boost::json::value &it : request.as_object().at("entries").as_array()) {
+        const boost::json::object &entry = it.as_object();
+        log.records.push_back({log.next++, nowMilliseconds(), std::string(entry.at("id").as_string()), std::string(entry.at("data").as_string())});
+        ++(name == "keys" ? m_keyRecords : m_configurationRecords);
+    }
+    log.changed->cancel();
+    if (std::uniform_real_distribution<double>(0, 1)(m_random) < m_lostAnswers) {
+        co_return false;
+    }
+    const boost::json::object answer{{"first", first}};
+    co_return co_await FakeServer::send(socket, FakeServer::json(200, boost::json::serialize(answer)));
+}
+
+void FakePlatform::prune(Stream &log, std::int64_t nowMs)
+{
+    const std::int64_t life = std::chrono::duration_cast<std::chrono::milliseconds>(retention).count();
+    while (!log.records.empty() && log.records.front().timeMs + life < nowMs) {
+        log.records.pop_front();
+    }
+}
+
+Asio::awaitable<bool> FakePlatform::read(FakeServer::Socket &socket, const std::string &name, std::uint64_t from, std::chrono::milliseconds wait)
+{
+    Stream &log = stream(name);
+    if (from >= log.next && wait.count() > 0) {
+        // Every reader waits on the same timer; an append cancels it for all.
+        log.changed->expires_after(wait);
+        const std::shared_ptr<Asio::steady_timer> changed = log.changed;
+        co_await changed->async_wait(Asio::as_tuple(Asio::use_awaitable));
+    }
+    if (m_outage) {
+        co_return false;
+    }
+    prune(log, nowMilliseconds());
+    boost::json::array records;
+    std::uint64_t next = from;
+    for (const Record &it : log.records) {
+        if (it.offset >= from && records.size() < readLimit) {
+            records.push_back(boost::json::object{{"offset", it.offset}, {"time_ms", it.timeMs}, {"id", it.id}, {"data", it.data}});
+            next = it.offset + 1;
+        }
+    }
+    const std::uint64_t oldest = log.records.empty() ? log.next : log.records.front().offset;
+    const boost::json::object answer{{"records", std::move(records)}, {"next", std::max(next, oldest)}, {"oldest", oldest}};
+    co_return co_await FakeServer::send(socket, FakeServer::json(200, boost::json::serialize(answer)));
+}
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Daemon/Daemon.cpp
@@ -0,0 +1,139 @@
+#include "Daemon/Daemon.h"
+
+#include "Decisions/Hash.h"
+#include "FrontEnds/FrontEnd.h"
+#include "FrontEnds/FrontEndContext.h"
+#include "Kernel/Log.h"
+#include "Kernel/Metrics.h"
+#include "Kernel/Registry.h"
+#include "Kernel/WorkerPool.h"
+#include "Peer/PeerNetwork.h"
+#include "Pipeline/LocalRoute.h"
+#include "Pipeline/PipelineRunner.h"
+#include "Pipeline/Services.h"
+#include "Pipeline/StageRunner.h"
+#include "Pipeline/TargetProber.h"
+#include "Platform/ClaimService.h"
+#include "Platform/ConfigurationService.h"
+#include "Platform/LogWriter.h"
+#include "Tables/AccountTable.h"
+#include "Tables/ConfigurationTable.h"
+#include "Tables/MemberTable.h"
+#include "Tables/PoisonTable.h"
+#include "Tables/RequestTable.h"
+#include "Tables/TargetTable.h"
+#include "Targets/ConnectionTable.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <random>
+
+namespace Guavalock
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds noticeTime{1'000}; ///< Between turning unhealthy and refusing requests.
+constexpr std::chrono::milliseconds checkInterval{20};
+
+std::string newIncarnation(const std::string &vm)
+{
+    std::random_device device;
+    const std::uint64_t number = (static_cast<std::uint64_t>(device()) << 32U) | device();
+    return vm + "." + Hash::hex(number);
+}
+
+} // namespace
+
+Daemon::Daemon(ProcessSettings settings)
+    : m_settings(std::move(settings))
+    , m_incarnation(newIncarnation(m_settings.vm))
+    , m_pool(std::make_unique<WorkerPool>(m_settings.workers))
+    , m_metrics(std::make_unique<Metrics>())
+    , m_configurationTable(std::make_unique<ConfigurationTable>())
+    , m_requests(std::make_unique<RequestTable>(m_settings.limits.requests))
+    , m_targets(std::make_unique<TargetTable>(TargetPool::Place{m_settings.vm, m_settings.dataCentre, m_settings.neighbours()},
+                                              Hash::of(m_incarnation)))
+    , m_connections(std::make_unique<ConnectionTable>(m_pool->executor()))
+    , m_accounts(std::make_unique<AccountTable>())
+    , m_poison(std::make_unique<PoisonTable>())
+    , m_members(std::make_unique<MemberTable>())
+    , m_services(new Services{m_settings, m_incarnation, m_clock, m_pool->executor(), *m_metrics, *m_configurationTable, *m_requests,
+                              *m_targets, *m_connections, *m_accounts, *m_poison})
+    , m_writer(std::make_unique<LogWriter>(*m_services))
+    , m_configuration(std::make_unique<ConfigurationService>(*m_services, *m_writer))
+    , m_claims(std::make_unique<ClaimService>(*m_services, *m_writer))
+    , m_local(std::make_unique<LocalRoute>(*m_services))
+    , m_peers(std::make_unique<PeerNetwork>(*m_services, *m_members, *m_local, *m_configuration))
+    , m_stages(std::make_unique<StageRunner>(*m_services, std::vector<AttemptRoute *>{m_local.get(), m_peers.get()},
+                                             [this](std::uint64_t fingerprint, std::size_t deaths) { m_peers->tellDeath(fingerprint, deaths); }))
+    , m_pipelines(std::make_unique<PipelineRunner>(*m_services, *m_stages, *m_claims))
+    , m_prober(std::make_unique<TargetProber>(*m_services))
+{
+    const FrontEndContext context{*m_services, *m_pipelines, *m_configuration, *m_members};
+    m_frontEnds = Registry<FrontEnd, const FrontEndContext &>::instance().createAll(context);
+}
+
+Daemon::~Daemon()
+{
+    m_pool->stop();
+}
+
+void Daemon::start()
+{
+    Log::state("daemon", "starting", {{"incarnation", m_incarnation}, {"data_centre", m_settings.dataCentre}});
+    m_peers->start();
+    m_configuration->start([this](const std::vector<ConfigurationTable::Stamped> &records, std::uint64_t from, std::uint64_t next) {
+        m_peers->tellRecords(records, from, next);
+    });
+    m_claims->start();
+    m_prober->start();
+    for (auto &[name, frontEnd] : m_frontEnds) {
+        frontEnd->start();
+    }
+    Log::state("daemon", "started", {{"callers", m_settings.callers.text()}, {"administration", m_settings.administration.text()}});
+}
+
+bool Daemon::stop()
+{
+    Log::state("daemon", "stopping", {{"requests", std::to_string(m_requests->inProgress())}});
+    for (auto &[name, frontEnd] : m_frontEnds) {
+        frontEnd->startDraining();
+    }
+    m_peers->startDraining();
+    boost::asio::io_context timers;
+    boost::asio::steady_timer timer(timers, noticeTime);
+    timer.wait();
+    m_requests->startDraining();
+    const bool finished = waitForRequests();
+    for (auto &[name, frontEnd] : m_frontEnds) {
+        frontEnd->stop();
+    }
+    m_peers->stop();
+    Log::state("daemon", "stopped", {{"requests", std::to_string(m_requests->inProgress())}});
+    return finished;
+}
+
+bool Daemon::waitForRequests() const
+{
+    const Clock::TimePoint end = m_clock.now() + m_settings.limits.stopTimeout;
+    boost::asio::io_context timers;
+    boost::asio::steady_timer timer(timers);
+    const auto busy = [this] { return m_requests->inProgress() + m_peers->callsInProgress() > 0; };
+    while (busy() && m_clock.now() < end) {
+        timer.expires_after(checkInterval);
+        timer.wait();
+    }
+    // Answers of the last requests are still on their way to the sockets.
+    timer.expires_after(checkInterval);
+    timer.wait();
+    return !busy();
+}
+
+const Services &Daemon::services() const
+{
+    return *m_services;
+}
+
+} // namespace Guavalock
--- a/Source/Decisions/ClaimLedger.cpp
+++ b/Source/Decisions/ClaimLedger.cpp
@@ -18,18 +18,30 @@
     if (!fresh) {
         return it->second.id == claim.id ? Verdict::Won : Verdict::Lost;
     }
-    m_order.push_back(claim.key);
+    m_order.emplace_back(claim.key, claim.id);
     return Verdict::Won;
 }
 
+void ClaimLedger::release(const std::string &key, const std::string &id)
+{
+    const auto it = m_holders.find(key);
+    if (it != m_holders.end() && it->second.id == id) {
+        m_holders.erase(it);
+    }
+}
+
 void ClaimLedger::forget(Clock::WallTime now)
 {
     while (!m_order.empty()) {
-        const auto it = m_holders.find(m_order.front());
-        if (it->second.recorded + m_life > now) {
+        const auto &[key, id] = m_order.front();
+        const auto it = m_holders.find(key);
+        const bool holds = it != m_holders.end() && it->second.id == id;
+        if (holds && it->second.recorded + m_life > now) {
             return;
         }
-        m_holders.erase(it);
+        if (holds) {
+            m_holders.erase(it);
+        }
         m_order.pop_front();
     }
 }
--- a/Source/Decisions/ClaimLedger.h
+++ b/Source/Decisions/ClaimLedger.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace Guavalock
 {
@@ -35,6 +36,9 @@
     /// Applies a claim at the time that the log gave its record, which never decreases.
     Verdict apply(const Claim &claim, Clock::WallTime recorded);
 
+    /// Frees the key of a claim whose holder has proven that it was not run. A claim that does not hold its key frees nothing.
+    void release(const std::string &key, const std::string &id);
+
     /// Returns the id of the winning claim of a key, or nothing when the key is free.
     const std::string *holder(const std::string &key) const;
 
@@ -50,7 +54,7 @@
 
     std::chrono::seconds m_life;
     std::map<std::string, Holder, std::less<>> m_holders;
-    std::deque<std::string> m_order;
+    std::deque<std::pair<std::string, std::string>> m_order; ///< Keys with the ids of their claims, oldest first.
 };
 
 } // namespace Guavalock
--- a/Source/Decisions/ConfigurationTree.cpp
+++ b/Source/Decisions/ConfigurationTree.cpp
@@ -7,6 +7,14 @@
 namespace Guavalock
 {
 
+ConfigurationTree::ConfigurationTree(std::map<std::string, std::string> documents, std::map<std::string, std::uint64_t> versions,
+                                     std::uint64_t nextOffset)
+    : m_nextOffset(nextOffset)
+    , m_documents(std::move(documents))
+    , m_versions(std::move(versions))
+{
+}
+
 ConfigurationTree::Verdict ConfigurationTree::apply(const ConfigurationRecord &record, std::uint64_t offset)
 {
     if (offset < m_nextOffset) {
@@ -47,4 +55,9 @@
     return m_documents;
 }
 
+const std::map<std::string, std::uint64_t> &ConfigurationTree::versions() const
+{
+    return m_versions;
+}
+
 } // namespace Guavalock
--- a/Source/Decisions/ConfigurationTree.h
+++ b/Source/Decisions/ConfigurationTree.h
@@ -22,6 +22,12 @@
         AlreadyApplied, ///< The offset is not larger than the last one applied.
     };
 
+    ConfigurationTree() = default;
+
+    /// A tree as another daemon held it.
+    ConfigurationTree(std::map<std::string, std::string> documents, std::map<std::string, std::uint64_t> versions,
+                      std::uint64_t nextOffset);
+
     Verdict apply(const ConfigurationRecord &record, std::uint64_t offset);
 
     /// Notes that records up to an offset, exclusive, are applied, though they changed nothing.
@@ -33,6 +39,7 @@
     std::uint64_t nextOffset() const;
 
     const std::map<std::string, std::string> &documents() const;
+    const std::map<std::string, std::uint64_t> &versions() const;
 
 private:
     std::uint64_t m_nextOffset = 0;
--- /dev/null
+++ b/Source/Flow/CancelScope.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "Flow/Cancellation.h"
+
+namespace Guavalock
+{
+
+/// Registers a handler with a Cancellation for the time of one wait. Handlers run on the request's strand.
+class CancelScope
+{
+public:
+    CancelScope(Cancellation &cancellation, Cancellation::Handler handler);
+    ~CancelScope();
+
+    CancelScope(const CancelScope &) = delete;
+    CancelScope &operator=(const CancelScope &) = delete;
+
+private:
+    Cancellation &m_cancellation;
+    Cancellation::Handler m_handler;
+};
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Flow/OneShot.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "Flow/CancelScope.h"
+#include "Kernel/Clock.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace Guavalock
+{
+
+/// A value that one operation waits for on its strand and that may be set, once, from any thread.
+///
+/// Held by a shared_ptr. A value that comes after the wait was given up goes to the late handler, on the strand.
+template<class Value>
+class OneShot : public std::enable_shared_from_this<OneShot<Value>>
+{
+public:
+    using Late = std::function<void(Value)>;
+
+    explicit OneShot(boost::asio::any_io_executor strand, Late late = {})
+        : m_strand(std::move(strand))
+        , m_timer(m_strand)
+        , m_late(std::move(late))
+    {
+    }
+
+    /// Sets the value. Callable from any thread; only the first value counts.
+    void set(Value value)
+    {
+        boost::asio::post(m_strand, [self = this->shared_from_this(), value = std::move(value)]() mutable { self->arrive(std::move(value)); });
+    }
+
+    /// Waits until the value is set, a time comes or the request is cancelled; returns nothing in the latter two cases.
+    boost::asio::awaitable<std::optional<Value>> wait(Clock::TimePoint until, Cancellation &cancellation)
+    {
+        const auto self = this->shared_from_this();
+        if (!m_value && !cancellation.cause()) {
+            m_timer.expires_at(until);
+            const CancelScope scope(cancellation, [this] { m_timer.cancel(); });
+            co_await m_timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+        }
+        m_over = true;
+        co_return std::move(m_value);
+    }
+
+private:
+    void arrive(Value value)
+    {
+        if (m_over) {
+            if (m_late) {
+                m_late(std::move(value));
+            }
+            return;
+        }
+        if (!m_value) {
+            m_value = std::move(value);
+            m_timer.cancel();
+        }
+    }
+
+    boost::asio::any_io_executor m_strand;
+    boost::asio::steady_timer m_timer;
+    Late m_late;
+    std::optional<Value> m_value;
+    bool m_over = false;
+};
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Flow/StageCall.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "Decisions/StageDemand.h"
+#include "Kernel/Clock.h"
+
+#include <boost/json/object.hpp>
+
+#include <string>
+
+namespace Guavalock
+{
+
+/// One stage of one request, in the form in which it is given to a local target or to a peer.
+struct StageCall {
+    std::string requestId;
+    std::string attemptId;
+    std::string pool; ///< TEAM/NAME.
+    std::string model;
+    std::string path;
+    std::string idempotencyKey;
+    bool idempotent = true;
+    StageDemand demand; ///< Its deadline is the time by which the stage has to end.
+    boost::json::object input;
+    std::size_t position = 0;
+    std::string textSoFar;
+};
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/FrontEnds/AdministrationFrontEnd.cpp
@@ -0,0 +1,256 @@
+#include "Flow/Cancellation.h"
+#include "FrontEnds/FrontEnd.h"
+#include "FrontEnds/FrontEndContext.h"
+#include "FrontEnds/HttpExchange.h"
+#include "FrontEnds/HttpHandler.h"
+#include "FrontEnds/HttpServer.h"
+#include "Kernel/Metrics.h"
+#include "Kernel/Registration.h"
+#include "Pipeline/Services.h"
+#include "Platform/ConfigurationService.h"
+#include "Reports/Report.h"
+#include "Settings/Configuration.h"
+#include "Settings/ConfigurationDocument.h"
+#include "Settings/ProcessSettings.h"
+#include "Tables/MemberTable.h"
+#include "Tables/RequestTable.h"
+#include "Tables/TargetTable.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <array>
+#include <charconv>
+#include <map>
+#include <span>
+
+namespace Guavalock
+{
+
+namespace Asio = boost::asio;
+
+namespace
+{
+
+constexpr const char *json = "application/json";
+constexpr std::string_view base = "/admin/v1/";
+
+double milliseconds(Clock::Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+std::uint64_t number(std::string_view text)
+{
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+/// Serves operators: the state of this daemon, reports, metrics and the configuration tree.
+class AdministrationFrontEnd : public FrontEnd, public HttpHandler
+{
+public:
+    explicit AdministrationFrontEnd(const FrontEndContext &context)
+        : m_context(context)
+        , m_server(context.services, context.services.settings.administration, *this)
+        , m_reports(Registry<Report>::instance().createAll())
+    {
+    }
+
+    void start() override
+    {
+        m_server.start();
+    }
+
+    /// Operators are served until the end.
+    void startDraining() override
+    {
+    }
+
+    void stop() override
+    {
+        m_server.stopAccepting();
+    }
+
+    Asio::awaitable<void> handle(HttpExchange &exchange) override
+    {
+        const std::string_view path = exchange.path();
+        const std::string_view rest = path.starts_with(base) ? path.substr(base.size()) : std::string_view();
+        const std::string_view resource = rest.substr(0, rest.find('/'));
+        const std::string name(rest.substr(std::min(rest.size(), resource.size() + 1)));
+        bool known = false;
+        for (const Route &it : routes()) {
+            if (it.resource != resource) {
+                continue;
+            }
+            known = true;
+            if (it.method == exchange.method()) {
+                co_await (this->*it.serve)(exchange, name);
+                co_return;
+            }
+        }
+        const ResultCode code = known ? ResultCode::MethodNotAllowed : ResultCode::UnknownPath;
+        Refusal refusal = Refusal::of(code, RunState::No, "see docs/ADMINISTRATION.md for the resources below /admin/v1");
+        co_await exchange.refuse(std::move(refusal), {});
+    }
+
+private:
+    using Serve = Asio::awaitable<void> (AdministrationFrontEnd::*)(HttpExchange &, std::string);
+
+    struct Route {
+        std::string_view method;
+        std::string_view resource;
+        Serve serve;
+    };
+
+    static std::span<const Route> routes();
+
+    Asio::awaitable<void> sendJson(HttpExchange &exchange, const boost::json::value &value)
+    {
+        co_await exchange.respond(200, json, boost::json::serialize(value) + "\n");
+    }
+
+    Asio::awaitable<void> status(HttpExchange &exchange, std::string)
+    {
+        const Services &services = m_context.services;
+        const Clock::TimePoint now = services.clock.now();
+        boost::json::object object{{"vm", services.settings.vm},
+                                   {"data_centre", services.settings.dataCentre},
+                                   {"incarnation", services.incarnation},
+                                   {"draining", services.requests.draining()},
+                                   {"requests_in_progress", services.requests.inProgress()},
+                                   {"configuration_next", services.configuration.nextOffset()},
+                                   {"log_age_ms", milliseconds(m_context.configuration.age(now))}};
+        co_await sendJson(exchange, object);
+    }
+
+    Asio::awaitable<void> metrics(HttpExchange &exchange, std::string)
+    {
+        co_await exchange.respond(200, "text/plain; version=0.0.4", m_context.services.metrics.prometheusText());
+    }
+
+    Asio::awaitable<void> targets(HttpExchange &exchange, std::string)
+    {
+        boost::json::array rows;
+        for (const TargetTable::Row &it : m_context.services.targets.rows()) {
+            rows.push_back(boost::json::object{{"pool", it.pool},
+                                               {"target", it.target},
+                                               {"address", it.address},
+                                               {"data_centre", it.dataCentre},
+                                               {"state", it.warmth},
+                                               {"in_service", it.inService},
+                                               {"outstanding", it.outstanding},
+                                               {"limit", it.limit},
+                                               {"incarnation", it.incarnation},
+                                               {"mean_ms", milliseconds(it.mean)}});
+        }
+        co_await sendJson(exchange, rows);
+    }
+
+    Asio::awaitable<void> members(HttpExchange &exchange, std::string)
+    {
+        boost::json::array rows;
+        for (const MemberTable::Row &it : m_context.members.rows(m_context.services.clock.now())) {
+            rows.push_back(boost::json::object{
+                {"vm", it.vm}, {"data_centre", it.dataCentre}, {"state", it.state}, {"configuration_next", it.configurationNext}});
+        }
+        co_await sendJson(exchange, rows);
+    }
+
+    Asio::awaitable<void> plugins(HttpExchange &exchange, std::string)
+    {
+        boost::json::array rows;
+        for (const PluginCatalogue::Entry &it : PluginCatalogue::instance().entries()) {
+            rows.push_back(boost::json::object{{"kind", it.kind}, {"name", it.name}, {"summary", it.summary}});
+        }
+        co_await sendJson(exchange, rows);
+    }
+
+    Asio::awaitable<void> report(HttpExchange &exchange, std::string name)
+    {
+        const auto it = m_reports.find(name);
+        if (it == m_reports.end()) {
+            Refusal refusal = Refusal::of(ResultCode::UnknownPath, RunState::No, "no report has this name; see /admin/v1/plugins");
+            co_await exchange.refuse(std::move(refusal), {});
+            co_return;
+        }
+        boost::json::object part = it->second->part(m_context.services);
+        part["vm"] = m_context.services.settings.vm;
+        co_await sendJson(exchange, part);
+    }
+
+    Asio::awaitable<void> getConfiguration(HttpExchange &exchange, std::string path)
+    {
+        const ConfigurationTree tree = m_context.services.configuration.tree();
+        boost::json::object documents;
+        for (const auto &[name, text] : tree.documents()) {
+            const bool below = path.empty() || name == path || name.starts_with(path + "/");
+            if (below) {
+                documents[name] = text;
+            }
+        }
+        boost::json::object answer{{"next", tree.nextOffset()}, {"documents", std::move(documents)}};
+        if (!path.empty()) {
+            answer["subtree"] = ConfigurationDocument::subtree(path);
+            answer["version"] = tree.version(ConfigurationDocument::subtree(path));
+        }
+        co_await sendJson(exchange, answer);
+    }
+
+    Asio::awaitable<void> putConfiguration(HttpExchange &exchange, std::string path)
+    {
+        co_await change(exchange, std::move(path), exchange.body());
+    }
+
+    Asio::awaitable<void> deleteConfiguration(HttpExchange &exchange, std::string path)
+    {
+        co_await change(exchange, std::move(path), std::nullopt);
+    }
+
+    Asio::awaitable<void> change(HttpExchange &exchange, std::string path, std::optional<std::string> value)
+    {
+        ConfigurationRecord record;
+        record.path = std::move(path);
+        record.value = std::move(value);
+        record.author = exchange.header("X-Author");
+        record.expectedVersion = number(exchange.header("X-Expected-Version"));
+        Reason reason;
+        const std::optional<std::uint64_t> version = co_await m_context.configuration.put(std::move(record), exchange.cancellation(), reason);
+        if (!version) {
+            const RunState run = reason.code == ResultCode::AppendUnsettled ? RunState::Unknown : RunState::No;
+            Refusal refusal = Refusal::of(reason.code, run, reason.text);
+            co_await exchange.refuse(std::move(refusal), {});
+            co_return;
+        }
+        const boost::json::object answer{{"version", *version}};
+        co_await sendJson(exchange, answer);
+    }
+
+    FrontEndContext m_context;
+    HttpServer m_server;
+    std::map<std::string, std::unique_ptr<Report>> m_reports;
+};
+
+std::span<const AdministrationFrontEnd::Route> AdministrationFrontEnd::routes()
+{
+    using It = AdministrationFrontEnd;
+    static const std::array table = {
+        Route{"GET", "status", &It::status},
+        Route{"GET", "metrics", &It::metrics},
+        Route{"GET", "targets", &It::targets},
+        Route{"GET", "members", &It::members},
+        Route{"GET", "plugins", &It::plugins},
+        Route{"GET", "reports", &It::report},
+        Route{"GET", "configuration", &It::getConfiguration},
+        Route{"PUT", "configuration", &It::putConfiguration},
+        Route{"DELETE", "configuration", &It::deleteConfiguration},
+    };
+    return table;
+}
+
+const Registration<FrontEnd, AdministrationFrontEnd, const FrontEndContext &> registration("administration", "operators over HTTP");
+
+} // namespace
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/FrontEnds/HttpExchange.cpp
@@ -0,0 +1,147 @@
+#include "FrontEnds/HttpExchange.h"
+
+#include "Flow/Cancellation.h"
+#include "FrontEnds/RefusalJson.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace Guavalock
+{
+
+namespace Asio = boost::asio;
+namespace Http = boost::beast::http;
+
+namespace
+{
+
+constexpr unsigned httpVersion = 11;
+
+std::string_view view(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+} // namespace
+
+HttpExchange::HttpExchange(Asio::ip::tcp::socket &socket, Request request, std::shared_ptr<Cancellation> cancellation, bool closeAfter)
+    : m_socket(socket)
+    , m_request(std::move(request))
+    , m_cancellation(std::move(cancellation))
+    , m_keepAlive(m_request.keep_alive() && !closeAfter)
+{
+}
+
+std::string_view HttpExchange::method() const
+{
+    return view(m_request.method_string());
+}
+
+std::string_view HttpExchange::path() const
+{
+    const std::string_view target = view(m_request.target());
+    return target.substr(0, target.find('?'));
+}
+
+std::string_view HttpExchange::query(std::string_view name) const
+{
+    const std::string_view target = view(m_request.target());
+    const std::size_t mark = target.find('?');
+    std::string_view rest = mark == std::string_view::npos ? std::string_view() : target.substr(mark + 1);
+    while (!rest.empty()) {
+        const std::string_view item = rest.substr(0, rest.find('&'));
+        if (item.starts_with(name) && item.size() > name.size() && item[name.size()] == '=') {
+            return item.substr(name.size() + 1);
+        }
+        rest.remove_prefix(std::min(rest.size(), item.size() + 1));
+    }
+    return {};
+}
+
+std::string_view HttpExchange::header(std::string_view name) const
+{
+    return view(m_request[boost::beast::string_view(name.data(), name.size())]);
+}
+
+const std::string &HttpExchange::body() const
+{
+    return m_request.body();
+}
+
+Cancellation &HttpExchange::cancellation()
+{
+    return *m_cancellation;
+}
+
+Asio::awaitable<void> HttpExchange::respond(unsigned status, std::string_view contentType, std::string body)
+{
+    Http::response<Http::string_body> response(Http::int_to_status(status), httpVersion);
+    response.set(Http::field::content_type, boost::beast::string_view(contentType.data(), contentType.size()));
+    response.keep_alive(m_keepAlive);
+    response.body() = std::move(body);
+    response.prepare_payload();
+    const auto [ec, n] = co_await Http::async_write(m_socket, response, Asio::as_tuple(Asio::use_awaitable));
+    m_keepAlive = m_keepAlive && !ec;
+}
+
+Asio::awaitable<void> HttpExchange::refuse(Refusal refusal, std::string requestId)
+{
+    const ResultCodeInfo &info = resultCodeInfo(refusal.code);
+    Http::response<Http::string_body> response(Http::status::ok, httpVersion);
+    response.result(info.httpStatus);
+    response.set(Http::field::content_type, "application/json");
+    if (refusal.retryAfter) {
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(*refusal.retryAfter);
+        response.set(Http::field::retry_after, std::to_string(seconds.count()));
+    }
+    response.keep_alive(m_keepAlive);
+    response.body() = boost::json::serialize(RefusalJson::of(refusal, requestId));
+    response.prepare_payload();
+    const auto [ec, n] = co_await Http::async_write(m_socket, response, Asio::as_tuple(Asio::use_awaitable));
+    m_keepAlive = m_keepAlive && !ec;
+}
+
+Asio::awaitable<bool> HttpExchange::startEvents()
+{
+    m_streaming = true;
+    Http::response<Http::empty_body> response(Http::status::ok, httpVersion);
+    response.set(Http::field::content_type, "text/event-stream");
+    response.set(Http::field::cache_control, "no-store");
+    response.keep_alive(m_keepAlive);
+    response.chunked(true);
+    Http::response_serializer<Http::empty_body> serializer(response);
+    const auto [ec, n] = co_await Http::async_write_header(m_socket, serializer, Asio::as_tuple(Asio::use_awaitable));
+    m_keepAlive = m_keepAlive && !ec;
+    co_return !ec;
+}
+
+Asio::awaitable<bool> HttpExchange::sendEvents(std::string bytes)
+{
+    const auto [ec, n] = co_await Asio::async_write(m_socket, Http::make_chunk(Asio::buffer(bytes)), Asio::as_tuple(Asio::use_awaitable));
+    m_keepAlive = m_keepAlive && !ec;
+    co_return !ec;
+}
+
+Asio::awaitable<void> HttpExchange::endEvents()
+{
+    const auto [ec, n] = co_await Asio::async_write(m_socket, Http::make_chunk_last(), Asio::as_tuple(Asio::use_awaitable));
+    m_keepAlive = m_keepAlive && !ec;
+}
+
+bool HttpExchange::streaming() const
+{
+    return m_streaming;
+}
+
+bool HttpExchange::keepAlive() const
+{
+    return m_keepAlive;
+}
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/FrontEnds/HttpSession.cpp
@@ -0,0 +1,159 @@
+#include "FrontEnds/HttpSession.h"
+
+#include "Flow/Cancellation.h"
+#include "Flow/DeadlineTimer.h"
+#include "FrontEnds/HttpExchange.h"
+#include "FrontEnds/HttpHandler.h"
+#include "Kernel/Counter.h"
+#include "Kernel/Metrics.h"
+#include "Pipeline/Services.h"
+#include "Settings/ProcessSettings.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <sys/socket.h>
+
+namespace Guavalock
+{
+
+namespace Asio = boost::asio;
+namespace Http = boost::beast::http;
+
+namespace
+{
+
+/// Returns the refusal for a failed read, or Ok when the caller simply went away.
+ResultCode codeForRead(const boost::system::error_code &ec, bool timedOut, bool anyRead)
+{
+    if (timedOut) {
+        return anyRead ? ResultCode::RequestTooSlow : ResultCode::Ok;
+    }
+    if (ec == Http::error::header_limit) {
+        return ResultCode::HeaderTooLarge;
+    }
+    if (ec == Http::error::body_limit) {
+        return ResultCode::BodyTooLarge;
+    }
+    if (ec == Http::error::partial_message) {
+        return ResultCode::MalformedRequest;
+    }
+    const bool protocol = ec.category() == Http::make_error_code(Http::error::bad_method).category();
+    return protocol && ec != Http::error::end_of_stream ? ResultCode::MalformedRequest : ResultCode::Ok;
+}
+
+} // namespace
+
+HttpSession::HttpSession(const Services &services, Asio::ip::tcp::socket socket, HttpHandler &handler, const std::atomic<bool> &closing)
+    : m_services(services)
+    , m_socket(std::move(socket))
+    , m_handler(handler)
+    , m_closing(closing)
+{
+    boost::system::error_code ignored;
+    m_socket.set_option(Asio::ip::tcp::no_delay(true), ignored);
+}
+
+Asio::awaitable<void> HttpSession::run()
+{
+    for (;;) {
+        if (m_buffer.size() == 0 && !co_await waitForData()) {
+            co_return;
+        }
+        ResultCode code = ResultCode::Ok;
+        std::optional<Request> request = co_await readRequest(code);
+        if (!request) {
+            if (code != ResultCode::Ok) {
+                co_await refuse(code);
+            }
+            co_return;
+        }
+        const auto cancellation = std::make_shared<Cancellation>(m_socket.get_executor());
+        HttpExchange exchange(m_socket, std::move(*request), cancellation, m_closing);
+        const std::shared_ptr<Watch> watch = watchForClose(cancellation);
+        co_await m_handler.handle(exchange);
+        watch->live = false;
+        boost::system::error_code ignored;
+        m_socket.cancel(ignored);
+        if (!exchange.keepAlive()) {
+            m_socket.shutdown(Asio::ip::tcp::socket::shutdown_send, ignored);
+            co_return;
+        }
+    }
+}
+
+Asio::awaitable<bool> HttpSession::waitForData()
+{
+    const DeadlineTimer timer(m_socket.get_executor(), m_services.clock.now() + m_services.settings.limits.idleTimeout, [this] {
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
+    });
+    // Waiting for the first byte without a buffer keeps idle connections small.
+    const auto [ec] = co_await m_socket.async_wait(Asio::ip::tcp::socket::wait_read, Asio::as_tuple(Asio::use_awaitable));
+    co_return !ec;
+}
+
+Asio::awaitable<std::optional<HttpSession::Request>> HttpSession::readRequest(ResultCode &code)
+{
+    Http::request_parser<Http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(m_services.settings.limits.headerBytes));
+    parser.body_limit(m_services.settings.limits.bodyBytes);
+    const DeadlineTimer timer(m_socket.get_executor(), m_services.clock.now() + m_services.settings.limits.receiveTimeout, [this] {
+        boost::system::error_code ignored;
+        m_socket.cancel(ignored);
+    });
+    const auto [ec, n] = co_await Http::async_read(m_socket, m_buffer, parser, Asio::as_tuple(Asio::use_awaitable));
+    if (ec) {
+        code = codeForRead(ec, timer.expired(), n > 0 || m_buffer.size() > 0);
+        co_return std::nullopt;
+    }
+    co_return parser.release();
+}
+
+Asio::awaitable<void> HttpSession::refuse(ResultCode code)
+{
+    m_services.metrics.counter("requests_unreadable_total").add();
+    Request none;
+    none.version(11);
+    HttpExchange exchange(m_socket, std::move(none), std::make_shared<Cancellation>(m_socket.get_executor()), true);
+    Refusal refusal = Refusal::of(code, RunState::No, std::string(resultCodeInfo(code).meaning));
+    co_await exchange.refuse(std::move(refusal), {});
+    boost::system::error_code ignored;
+    m_socket.shutdown(Asio::ip::tcp::socket::shutdown_send, ignored);
+    // What the caller still sends is read and dropped for a while; closing at once could destroy the refusal on its way.
+    constexpr std::chrono::milliseconds drainTime{500};
+    const DeadlineTimer timer(m_socket.get_executor(), m_services.clock.now() + drainTime, [this] {
+        boost::system::error_code closed;
+        m_socket.close(closed);
+    });
+    m_buffer.clear();
+    for (;;) {
+        const auto [ec, n] = co_await m_socket.async_read_some(m_buffer.prepare(4096), Asio::as_tuple(Asio::use_awaitable));
+        if (ec) {
+            co_return;
+        }
+    }
+}
+
+std::shared_ptr<HttpSession::Watch> HttpSession::watchForClose(const std::shared_ptr<Cancellation> &cancellation)
+{
+    const auto watch = std::make_shared<Watch>();
+    auto readable = [this, watch, cancellation](const boost::system::error_code &ec) {
+        if (!ec && watch->live && callerClosed()) {
+            cancellation->cancel(RefusalCause::CallerClosed);
+        }
+    };
+    m_socket.async_wait(Asio::ip::tcp::socket::wait_read, Asio::bind_executor(m_socket.get_executor(), std::move(readable)));
+    return watch;
+}
+
+bool HttpSession::callerClosed()
+{
+    char byte = 0;
+    const ssize_t n = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+} // namespace Guavalock
--- a/Source/Kernel/Refusal.h
+++ b/Source/Kernel/Refusal.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace Guavalock
 {
@@ -17,6 +18,16 @@
     std::string reason;
     /// When the same request is worth sending again; empty when it is not.
     std::optional<std::chrono::milliseconds> retryAfter;
+
+    /// Makes a refusal that is not worth repeating. Coroutines use this in place of braces, which GCC 12 may destroy twice.
+    static Refusal of(ResultCode code, RunState run, std::string reason)
+    {
+        Refusal refusal;
+        refusal.code = code;
+        refusal.run = run;
+        refusal.reason = std::move(reason);
+        return refusal;
+    }
 };
 
 } // namespace Guavalock
--- a/Source/Kernel/WorkerPool.cpp
+++ b/Source/Kernel/WorkerPool.cpp
@@ -17,6 +17,16 @@
 
 } // namespace
 
+WorkerPool::Context::Context(int threads)
+    : boost::asio::io_context(threads)
+{
+}
+
+void WorkerPool::Context::freeSuspended()
+{
+    shutdown();
+}
+
 WorkerPool::WorkerPool(std::size_t workers)
     : m_context(static_cast<int>(workerCount(workers)))
     , m_guard(m_context.get_executor())
@@ -52,6 +62,7 @@
             it.join();
         }
     }
+    m_context.freeSuspended();
 }
 
 } // namespace Guavalock
--- a/Source/Kernel/WorkerPool.h
+++ b/Source/Kernel/WorkerPool.h
@@ -12,7 +12,8 @@
 
 /// A fixed number of threads that run the handlers of one Asio io_context.
 ///
-/// A thread without work blocks in the kernel. The destructor stops the threads and waits for them.
+/// A thread without work blocks in the kernel. Stop the pool before the objects that its operations refer to are destroyed, and
+/// destroy it after them.
 class WorkerPool
 {
 public:
@@ -29,11 +30,19 @@
 
     std::size_t size() const;
 
-    /// Abandons handlers that have not run and waits for the workers to return.
+    /// Waits for the workers to return, then frees every operation that is still suspended.
     void stop();
 
 private:
-    boost::asio::io_context m_context;
+    /// Gives access to the step of the context's destruction that frees suspended operations.
+    class Context : public boost::asio::io_context
+    {
+    public:
+        explicit Context(int threads);
+        void freeSuspended();
+    };
+
+    Context m_context;
     boost::asio::executor_work_guard<Executor> m_guard;
     std::vector<std::thread> m_threads;
 };
--- /dev/null
+++ b/Source/Net/Connection.cpp
@@ -0,0 +1,62 @@
+#include "Net/Connection.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <sys/socket.h>
+
+namespace Guavalock
+{
+
+namespace Asio = boost::asio;
+
+Connection::Connection(const Asio::any_io_executor &executor, Endpoint endpoint)
+    : m_endpoint(std::move(endpoint))
+    , m_socket(executor)
+{
+}
+
+Asio::awaitable<bool> Connection::connect()
+{
+    const Asio::ip::tcp::endpoint remote(Asio::ip::make_address(m_endpoint.address), m_endpoint.port);
+    const auto [ec] = co_await m_socket.async_connect(remote, Asio::as_tuple(Asio::use_awaitable));
+    if (ec) {
+        co_return false;
+    }
+    boost::system::error_code ignored;
+    m_socket.set_option(Asio::ip::tcp::no_delay(true), ignored);
+    co_return true;
+}
+
+bool Connection::reusable()
+{
+    if (!m_socket.is_open() || m_buffer.size() > 0) {
+        return false;
+    }
+    char byte = 0;
+    const ssize_t n = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void Connection::close()
+{
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+}
+
+const Endpoint &Connection::endpoint() const
+{
+    return m_endpoint;
+}
+
+Asio::ip::tcp::socket &Connection::socket()
+{
+    return m_socket;
+}
+
+boost::beast::flat_buffer &Connection::buffer()
+{
+    return m_buffer;
+}
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Net/HttpCaller.cpp
@@ -0,0 +1,79 @@
+#include "Net/HttpCaller.h"
+
+#include "Flow/DeadlineTimer.h"
+#include "Net/Connection.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace Guavalock
+{
+
+namespace Asio = boost::asio;
+namespace Http = boost::beast::http;
+
+namespace
+{
+
+constexpr unsigned httpVersion = 11;
+constexpr std::uint64_t maxAnswerBytes = 64ULL * 1024 * 1024;
+constexpr const char *loadHeader = "X-Load";
+
+} // namespace
+
+HttpCaller::HttpCaller(Asio::any_io_executor strand, Endpoint endpoint)
+    : m_strand(std::move(strand))
+    , m_endpoint(std::move(endpoint))
+{
+}
+
+HttpCaller::~HttpCaller() = default;
+
+Asio::awaitable<std::optional<HttpCaller::Answer>> HttpCaller::call(Request request, std::chrono::milliseconds timeout)
+{
+    if (!m_connection || !m_connection->reusable()) {
+        m_connection = std::make_unique<Connection>(m_strand, m_endpoint);
+    }
+    const DeadlineTimer timer(m_strand, Clock::TimePoint::clock::now() + timeout, [this] { m_connection->close(); });
+    std::optional<Answer> answer = co_await exchange(request);
+    if (!answer) {
+        m_connection->close();
+    }
+    co_return answer;
+}
+
+Asio::awaitable<std::optional<HttpCaller::Answer>> HttpCaller::exchange(const Request &request)
+{
+    if (!m_connection->socket().is_open() && !co_await m_connection->connect()) {
+        co_return std::nullopt;
+    }
+    Http::request<Http::string_body> message(Http::string_to_verb(request.method), request.path, httpVersion);
+    message.set(Http::field::host, m_endpoint.text());
+    message.set(Http::field::content_type, "application/json");
+    for (const auto &[name, value] : request.headers) {
+        message.set(name, value);
+    }
+    message.body() = request.body;
+    message.prepare_payload();
+    const auto [written, sent] = co_await Http::async_write(m_connection->socket(), message, Asio::as_tuple(Asio::use_awaitable));
+    if (written) {
+        co_return std::nullopt;
+    }
+    Http::response_parser<Http::string_body> parser;
+    parser.body_limit(maxAnswerBytes);
+    const auto [ec, n]
+        = co_await Http::async_read(m_connection->socket(), m_connection->buffer(), parser, Asio::as_tuple(Asio::use_awaitable));
+    if (ec) {
+        co_return std::nullopt;
+    }
+    Answer answer{parser.get().result_int(), std::move(parser.get().body()), std::string(parser.get()[loadHeader])};
+    if (!parser.keep_alive()) {
+        m_connection->close();
+    }
+    co_return answer;
+}
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Peer/FrameBuilder.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "Decisions/ConfigurationTree.h"
+#include "Flow/AttemptResult.h"
+#include "Flow/Part.h"
+#include "Flow/StageCall.h"
+#include "Tables/ConfigurationTable.h"
+#include "Tables/MemberTable.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Guavalock
+{
+
+/// Encodes what daemons tell each other into frames, length included.
+class FrameBuilder
+{
+public:
+    using Bytes = std::vector<std::uint8_t>;
+
+    static constexpr std::uint16_t protocolVersion = 1;
+
+    struct Hello {
+        std::uint16_t version = protocolVersion;
+        std::string vm;
+        std::string dataCentre;
+        std::string incarnation;
+        Bytes nonce;
+    };
+
+    static Bytes hello(const Hello &hello);
+    static Bytes proof(const Bytes &mac);
+    static Bytes heartbeat(const MemberTable::Heard &state);
+    static Bytes stageCall(std::uint64_t call, const StageCall &stage, Clock::TimePoint now);
+    static Bytes cancel(std::uint64_t call);
+    static Bytes parts(std::uint64_t call, const std::vector<Part> &parts);
+    static Bytes stageEnd(std::uint64_t call, const AttemptResult &result);
+    static Bytes death(std::uint64_t fingerprint, std::size_t deaths);
+    static Bytes records(const std::vector<ConfigurationTable::Stamped> &records, std::uint64_t from, std::uint64_t next);
+    static Bytes snapshotRequest();
+    static Bytes snapshot(const ConfigurationTree &tree);
+};
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Peer/FrameChannel.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace Guavalock
+{
+
+/// Sends and receives frames over one TCP connection. A frame begins with its length, four bytes, lowest first.
+///
+/// Held by a shared_ptr. The socket's executor has to be a strand; read is called there.
+class FrameChannel : public std::enable_shared_from_this<FrameChannel>
+{
+public:
+    using Bytes = std::vector<std::uint8_t>;
+
+    static constexpr std::size_t maxFrameBytes = 16 * 1024 * 1024;
+    static constexpr std::size_t maxQueuedBytes = 64 * 1024 * 1024;
+
+    explicit FrameChannel(boost::asio::ip::tcp::socket socket);
+
+    /// Returns the next frame, its length included, or nothing when the connection has ended or a frame is too long.
+    boost::asio::awaitable<std::optional<Bytes>> read();
+
+    /// Queues a frame. Callable from any thread. Closes the connection when too much is queued.
+    void send(Bytes frame);
+
+    /// Closes the connection. Callable from any thread.
+    void close();
+
+    boost::asio::any_io_executor strand();
+
+private:
+    void enqueue(Bytes frame);
+    void closeNow();
+    boost::asio::awaitable<void> write();
+
+    boost::asio::ip::tcp::socket m_socket;
+    std::deque<Bytes> m_queue;
+    std::size_t m_queuedBytes = 0;
+    bool m_writing = false;
+};
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Peer/FrameReader.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "Peer/FrameBuilder.h"
+
+#include <functional>
+#include <optional>
+#include <span>
+
+namespace Guavalock
+{
+
+/// What a connection does with each kind of frame. Frames of kinds it does not expect are passed over.
+struct FrameHandlers {
+    std::function<void(const MemberTable::Heard &)> heartbeat;
+    std::function<void(std::uint64_t call, StageCall)> stageCall;
+    std::function<void(std::uint64_t call)> cancel;
+    std::function<void(std::uint64_t call, std::vector<Part>)> parts;
+    std::function<void(std::uint64_t call, AttemptResult)> stageEnd;
+    std::function<void(std::uint64_t fingerprint, std::size_t deaths)> death;
+    std::function<void(std::vector<ConfigurationTable::Stamped>, std::uint64_t from, std::uint64_t next)> records;
+    std::function<void()> snapshotRequest;
+    std::function<void(ConfigurationTree)> snapshot;
+};
+
+/// Decodes frames. Every frame is verified before any of it is used.
+class FrameReader
+{
+public:
+    using Bytes = std::span<const std::uint8_t>;
+
+    static std::optional<FrameBuilder::Hello> hello(Bytes frame);
+    static std::optional<FrameBuilder::Bytes> proof(Bytes frame);
+
+    /// Decodes a frame and calls its handler. Returns false when the frame is not valid.
+    static bool dispatch(Bytes frame, Clock::TimePoint now, const FrameHandlers &handlers);
+};
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Peer/PeerCall.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "Flow/AttemptResult.h"
+#include "Flow/Part.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+#include <memory>
+#include <variant>
+#include <vector>
+
+namespace Guavalock
+{
+
+class Cancellation;
+
+/// What a peer answers to one stage call, queued for the request that waits. Held by a shared_ptr.
+class PeerCall : public std::enable_shared_from_this<PeerCall>
+{
+public:
+    using Message = std::variant<std::vector<Part>, AttemptResult>;
+
+    explicit PeerCall(boost::asio::any_io_executor strand);
+
+    /// Adds a message. Callable from any thread.
+    void deliver(Message message);
+
+    /// Returns the next message, or nothing when a time came or the request was cancelled first. Called on the strand.
+    boost::asio::awaitable<std::optional<Message>> next(Clock::TimePoint until, Cancellation &cancellation);
+
+private:
+    boost::asio::any_io_executor m_strand;
+    boost::asio::steady_timer m_timer;
+    std::deque<Message> m_messages;
+};
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Peer/PeerLink.cpp
@@ -0,0 +1,214 @@
+#include "Peer/PeerLink.h"
+
+#include "Decisions/Hash.h"
+#include "Flow/CancelScope.h"
+#include "Flow/DeadlineTimer.h"
+#include "Flow/PartSink.h"
+#include "Kernel/Log.h"
+#include "Peer/FrameChannel.h"
+#include "Peer/PeerCall.h"
+#include "Peer/PeerHandshake.h"
+#include "Pipeline/Services.h"
+#include "Settings/ProcessSettings.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace Guavalock
+{
+
+namespace Asio = boost::asio;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds firstWait{50};
+constexpr std::chrono::milliseconds longestWait{2'000};
+constexpr std::chrono::milliseconds connectTimeout{1'000};
+constexpr std::chrono::milliseconds answerGrace{50}; ///< The peer ends the stage on time itself; its answer still has to travel.
+
+AttemptResult withoutTarget(AttemptEnd end, std::string detail)
+{
+    AttemptResult result;
+    result.end = end;
+    result.detail = std::move(detail);
+    if (end == AttemptEnd::NotSent) {
+        result.cause = RefusalCause::PeerUnreachable;
+    }
+    return result;
+}
+
+} // namespace
+
+PeerLink::PeerLink(const Services &services, MemberTable &members, PeerSettings peer, Events events)
+    : m_services(services)
+    , m_members(members)
+    , m_peer(std::move(peer))
+    , m_events(std::move(events))
+    , m_strand(Asio::make_strand(services.executor))
+    , m_backoff(firstWait, longestWait)
+    , m_random(Hash::of(services.incarnation + m_peer.vm))
+{
+    m_handlers.parts = [this](std::uint64_t call, std::vector<Part> parts) { give(call, std::move(parts)); };
+    m_handlers.stageEnd = [this](std::uint64_t call, AttemptResult result) { end(call, std::move(result)); };
+    m_handlers.snapshot = [this](ConfigurationTree tree) { m_events.snapshot(std::move(tree)); };
+}
+
+PeerLink::~PeerLink() = default;
+
+const PeerSettings &PeerLink::peer() const
+{
+    return m_peer;
+}
+
+void PeerLink::start()
+{
+    Asio::co_spawn(m_strand, keepUp(), Asio::detached);
+}
+
+Asio::awaitable<void> PeerLink::keepUp()
+{
+    Asio::steady_timer timer(m_strand);
+    for (;;) {
+        const std::shared_ptr<FrameChannel> channel = co_await connect();
+        if (channel) {
+            m_backoff.reset();
+            m_channel = channel;
+            m_members.connected(m_peer.vm, m_services.clock.now());
+            Log::state("peer", "link-up", {{"peer", m_peer.vm}, {"data_centre", m_peer.dataCentre}});
+            m_events.connected();
+            co_await receive(*channel);
+            linkLost();
+        }
+        timer.expires_after(m_backoff.next(m_random));
+        co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
+    }
+}
+
+Asio::awaitable<std::shared_ptr<FrameChannel>> PeerLink::connect()
+{
+    Asio::ip::tcp::socket socket(m_strand);
+    {
+        const DeadlineTimer timer(m_strand, m_services.clock.now() + connectTimeout, [&socket] {
+            boost::system::error_code ignored;
+            socket.close(ignored);
+        });
+        const Asio::ip::tcp::endpoint remote(Asio::ip::make_address(m_peer.address.address), m_peer.address.port);
+        const auto [ec] = co_await socket.async_connect(remote, Asio::as_tuple(Asio::use_awaitable));
+        if (ec) {
+            co_return nullptr;
+        }
+    }
+    auto channel = std::make_shared<FrameChannel>(std::move(socket));
+    const std::optional<FrameBuilder::Hello> hello = co_await PeerHandshake::run(m_services, *channel, PeerHandshake::Role::Dialler);
+    if (!hello || hello->vm != m_peer.vm) {
+        Log::warning("peer", "peer-not-authenticated", {{"peer", m_peer.vm}, {"address", m_peer.address.text()}});
+        channel->close();
+        co_return nullptr;
+    }
+    co_return channel;
+}
+
+Asio::awaitable<void> PeerLink::receive(FrameChannel &channel)
+{
+    for (;;) {
+        const std::optional<FrameChannel::Bytes> frame = co_await channel.read();
+        if (!frame) {
+            co_return;
+        }
+        if (!FrameReader::dispatch(*frame, m_services.clock.now(), m_handlers)) {
+            Log::warning("peer", "frame-invalid", {{"peer", m_peer.vm}});
+            channel.close();
+            co_return;
+        }
+    }
+}
+
+void PeerLink::linkLost()
+{
+    m_channel = nullptr;
+    m_members.disconnected(m_peer.vm);
+    Log::warning("peer", "link-down", {{"peer", m_peer.vm}, {"calls", std::to_string(m_calls.size())}});
+    for (auto &[id, waiting] : m_calls) {
+        waiting->deliver(withoutTarget(AttemptEnd::Lost, "the connection to the peer " + m_peer.vm + " ended"));
+    }
+    m_calls.clear();
+}
+
+void PeerLink::send(Bytes frame)
+{
+    Asio::post(m_strand, [this, frame = std::move(frame)]() mutable {
+        if (m_channel) {
+            m_channel->send(std::move(frame));
+        }
+    });
+}
+
+void PeerLink::begin(std::uint64_t call, const std::shared_ptr<PeerCall> &waiting, Bytes frame)
+{
+    Asio::post(m_strand, [this, call, waiting, frame = std::move(frame)]() mutable {
+        if (!m_channel) {
+            waiting->deliver(withoutTarget(AttemptEnd::NotSent, "no connection to the peer " + m_peer.vm));
+            return;
+        }
+        m_calls[call] = waiting;
+        m_channel->send(std::move(frame));
+    });
+}
+
+void PeerLink::forget(std::uint64_t call)
+{
+    Asio::post(m_strand, [this, call] {
+        const bool open = m_calls.erase(call) > 0;
+        if (open && m_channel) {
+            m_channel->send(FrameBuilder::cancel(call));
+        }
+    });
+}
+
+void PeerLink::give(std::uint64_t call, std::vector<Part> parts)
+{
+    const auto it = m_calls.find(call);
+    if (it != m_calls.end()) {
+        it->second->deliver(std::move(parts));
+    }
+}
+
+void PeerLink::end(std::uint64_t call, AttemptResult result)
+{
+    const auto it = m_calls.find(call);
+    if (it != m_calls.end()) {
+        it->second->deliver(std::move(result));
+        m_calls.erase(it);
+    }
+}
+
+Asio::awaitable<AttemptResult> PeerLink::call(const StageCall &stage, PartSink &sink, Cancellation &cancellation)
+{
+    const auto waiting = std::make_shared<PeerCall>(cancellation.strand());
+    const std::uint64_t id = ++m_lastCall;
+    begin(id, waiting, FrameBuilder::stageCall(id, stage, m_services.clock.now()));
+    for (;;) {
+        std::optional<PeerCall::Message> message = co_await waiting->next(stage.demand.deadline + answerGrace, cancellation);
+        if (!message) {
+            forget(id);
+            AttemptResult result = withoutTarget(cancellation.cause() ? AttemptEnd::Cancelled : AttemptEnd::TimedOut, "the peer gave no answer");
+            result.cause = cancellation.cause();
+            co_return result;
+        }
+        if (AttemptResult *result = std::get_if<AttemptResult>(&*message)) {
+            co_return std::move(*result);
+        }
+        if (co_await sink.take(std::move(std::get<std::vector<Part>>(*message))) == PartSink::Next::Stop) {
+            forget(id);
+            co_return withoutTarget(cancellation.cause() ? AttemptEnd::Cancelled : AttemptEnd::Invalid, "the stream does not fit what came before");
+        }
+    }
+}
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Peer/PeerLink.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "Decisions/Backoff.h"
+#include "Peer/FrameBuilder.h"
+#include "Peer/FrameReader.h"
+#include "Settings/PeerSettings.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace Guavalock
+{
+
+class Cancellation;
+class FrameChannel;
+class MemberTable;
+class PartSink;
+class PeerCall;
+struct Services;
+
+/// This daemon's connection to one peer: kept up, used for control frames and for stage calls that the peer runs.
+class PeerLink
+{
+public:
+    using Bytes = FrameBuilder::Bytes;
+
+    struct Events {
+        std::function<void()> connected;
+        std::function<void(ConfigurationTree)> snapshot;
+    };
+
+    PeerLink(const Services &services, MemberTable &members, PeerSettings peer, Events events);
+    ~PeerLink();
+
+    void start();
+
+    /// Sends a control frame, if the link is up. Callable from any thread.
+    void send(Bytes frame);
+
+    /// Has the peer make one attempt at a stage. Runs on the request's strand.
+    boost::asio::awaitable<AttemptResult> call(const StageCall &stage, PartSink &sink, Cancellation &cancellation);
+
+    const PeerSettings &peer() const;
+
+private:
+    boost::asio::awaitable<void> keepUp();
+    boost::asio::awaitable<std::shared_ptr<FrameChannel>> connect();
+    boost::asio::awaitable<void> receive(FrameChannel &channel);
+    void begin(std::uint64_t call, const std::shared_ptr<PeerCall> &waiting, Bytes frame);
+    void forget(std::uint64_t call);
+    void give(std::uint64_t call, std::vector<Part> parts);
+    void end(std::uint64_t call, AttemptResult result);
+    void linkLost();
+
+    const Services &m_services;
+    MemberTable &m_members;
+    PeerSettings m_peer;
+    Events m_events;
+    boost::asio::any_io_executor m_strand;
+    FrameHandlers m_handlers;
+    std::shared_ptr<FrameChannel> m_channel;
+    std::map<std::uint64_t, std::shared_ptr<PeerCall>> m_calls;
+    std::atomic<std::uint64_t> m_lastCall{0};
+    Backoff m_backoff;
+    RandomEngine m_random;
+};
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Pipeline/KeyClaims.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "Kernel/Clock.h"
+#include "Kernel/Reason.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <optional>
+#include <string>
+
+namespace Guavalock
+{
+
+class Cancellation;
+struct PipelineAnswer;
+
+/// Decides whether this daemon may run the request of an idempotency key.
+class KeyClaims
+{
+public:
+    virtual ~KeyClaims() = default;
+
+    /// Claims a key. Returns true when this daemon, and no other, may run the request now. Otherwise answer holds what the caller
+    /// is told: the stored answer of an earlier run, or a refusal.
+    virtual boost::asio::awaitable<bool> claim(const std::string &key, Clock::WallTime issued, Clock::TimePoint deadline,
+                                               Cancellation &cancellation, PipelineAnswer &answer)
+        = 0;
+
+    /// Stores the answer of a run for callers that send the key again.
+    virtual void finished(const std::string &key, const PipelineAnswer &answer) = 0;
+};
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Pipeline/PipelineRunner.cpp
@@ -0,0 +1,158 @@
+#include "Pipeline/PipelineRunner.h"
+
+#include "Decisions/Hash.h"
+#include "Decisions/RefusalTable.h"
+#include "Flow/Cancellation.h"
+#include "Kernel/Counter.h"
+#include "Kernel/Distribution.h"
+#include "Kernel/Metrics.h"
+#include "Pipeline/KeyClaims.h"
+#include "Pipeline/RequestState.h"
+#include "Pipeline/Services.h"
+#include "Pipeline/StageRunner.h"
+#include "Settings/Configuration.h"
+#include "Settings/ProcessSettings.h"
+#include "Tables/AccountTable.h"
+#include "Tables/ConfigurationTable.h"
+#include "Tables/PoisonTable.h"
+#include "Tables/RequestTable.h"
+
+namespace Guavalock
+{
+
+namespace Asio = boost::asio;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds retrySoon{1'000};
+
+Refusal notRun(ResultCode code, std::string reason)
+{
+    return {code, RunState::No, std::move(reason), std::nullopt};
+}
+
+Refusal notRunNow(ResultCode code)
+{
+    return {code, RunState::No, std::string(resultCodeInfo(code).meaning), retrySoon};
+}
+
+/// Returns whether the end of a request says something about the service and not about the caller.
+bool countsForObjective(const PipelineAnswer &answer)
+{
+    const unsigned family = resultNumber(answer.refusal.code) / 100;
+    return answer.output || (family != 1 && answer.refusal.code != ResultCode::Cancelled);
+}
+
+std::uint64_t fingerprint(const PipelineRequest &request, const std::string &key)
+{
+    const std::string text = request.team + "/" + request.pipeline + "/" + request.organisation + "/" + Hash::hex(request.bodyHash);
+    return Hash::of(text, Hash::of(key));
+}
+
+} // namespace
+
+PipelineRunner::PipelineRunner(const Services &services, StageRunner &stages, KeyClaims &keys)
+    : m_services(services)
+    , m_stages(stages)
+    , m_keys(keys)
+{
+}
+
+std::optional<Refusal> PipelineRunner::prepare(RequestState &state) const
+{
+    const PipelineRequest &request = state.request;
+    const std::shared_ptr<const Configuration> configuration = m_services.configuration.current();
+    if (configuration->offset == 0) {
+        return notRunNow(ResultCode::NotConfigured);
+    }
+    const auto organisation = configuration->organisations.find(request.organisation);
+    if (organisation == configuration->organisations.end()) {
+        return notRun(ResultCode::UnknownOrganisation, "the organisation '" + request.organisation + "' is not configured");
+    }
+    const auto pipeline = configuration->pipelines.find(state.pipelineName());
+    if (pipeline == configuration->pipelines.end()) {
+        return notRun(ResultCode::UnknownPipeline, "no pipeline '" + state.pipelineName() + "' is configured");
+    }
+    state.pipeline = pipeline->second;
+    state.weight = organisation->second.weight;
+    state.deadline = request.received + request.deadline.value_or(state.pipeline.deadline);
+    state.fingerprint = fingerprint(request, m_services.settings.peerKey);
+    state.context = request.body;
+    if (!state.pipeline.idempotent() && (request.idempotencyKey.empty() || !request.keyIssued)) {
+        return notRun(ResultCode::BadIdempotencyKey,
+                      "this pipeline may not be repeated; send Idempotency-Key and Idempotency-Issued with the request");
+    }
+    if (m_services.poison.standing(state.fingerprint, m_services.clock.now()) == PoisonTable::Standing::Quarantined) {
+        return RefusalTable::refusal(RefusalCause::Quarantined, RunState::Yes, true, "earlier runs of this request ended with the loss of their targets");
+    }
+    return std::nullopt;
+}
+
+Asio::awaitable<PipelineAnswer> PipelineRunner::run(PipelineRequest request, PartSink *sink, Cancellation &cancellation)
+{
+    RequestState state;
+    state.request = std::move(request);
+    PipelineAnswer answer;
+    if (std::optional<Refusal> refusal = prepare(state)) {
+        answer.refusal = std::move(*refusal);
+        count(state, answer);
+        co_return answer;
+    }
+    const std::shared_ptr<const Configuration> configuration = m_services.configuration.current();
+    const auto organisation = configuration->organisations.find(state.request.organisation);
+    const std::size_t limit = organisation == configuration->organisations.end() ? 0 : organisation->second.requests;
+    RequestTable::Place place;
+    const ResultCode admitted = m_services.requests.admit(state.request.organisation, limit, place);
+    if (admitted != ResultCode::Ok) {
+        answer.refusal = notRunNow(admitted);
+    } else if (state.pipeline.idempotent()) {
+        answer = co_await runStages(state, sink, cancellation);
+    } else {
+        answer = co_await runOnce(state, sink, cancellation);
+    }
+    count(state, answer);
+    co_return answer;
+}
+
+Asio::awaitable<PipelineAnswer> PipelineRunner::runOnce(RequestState &state, PartSink *sink, Cancellation &cancellation)
+{
+    PipelineAnswer answer;
+    const std::string key = state.request.organisation + "/" + state.pipelineName() + "/" + state.request.idempotencyKey;
+    const bool won = co_await m_keys.claim(key, *state.request.keyIssued, state.deadline, cancellation, answer);
+    if (!won) {
+        co_return answer;
+    }
+    answer = co_await runStages(state, sink, cancellation);
+    m_keys.finished(key, answer);
+    co_return answer;
+}
+
+Asio::awaitable<PipelineAnswer> PipelineRunner::runStages(RequestState &state, PartSink *sink, Cancellation &cancellation)
+{
+    PipelineAnswer answer;
+    const std::size_t n = state.pipeline.stages.size();
+    for (std::size_t it = 0; it < n; ++it) {
+        PartSink *stageSink = it + 1 == n ? sink : nullptr;
+        if (std::optional<Refusal> refusal = co_await m_stages.run(state, it, stageSink, cancellation)) {
+            answer.refusal = std::move(*refusal);
+            co_return answer;
+        }
+    }
+    state.context.erase("embedding");
+    answer.output = std::move(state.context);
+    co_return answer;
+}
+
+void PipelineRunner::count(const RequestState &state, const PipelineAnswer &answer) const
+{
+    const Clock::TimePoint now = m_services.clock.now();
+    const ResultCode code = answer.output ? ResultCode::Ok : answer.refusal.code;
+    m_services.metrics.counter("requests_total{code=\"" + std::to_string(resultNumber(code)) + "\"}").add();
+    m_services.metrics.distribution("request_seconds").observe(now - state.request.received);
+    if (countsForObjective(answer) && !state.pipeline.stages.empty()) {
+        m_services.accounts.finished(state.pipelineName(), answer.output && now <= state.deadline, now);
+    }
+}
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Pipeline/Services.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <string>
+
+namespace Guavalock
+{
+
+class AccountTable;
+class Clock;
+class ConfigurationTable;
+class ConnectionTable;
+class Metrics;
+class PoisonTable;
+class RequestTable;
+class TargetTable;
+struct ProcessSettings;
+
+/// What the parts of one daemon share. Every reference outlives the worker pool.
+struct Services {
+    const ProcessSettings &settings;
+    const std::string &incarnation; ///< Of this daemon process; unlike any other's.
+    const Clock &clock;
+    boost::asio::any_io_executor executor;
+    Metrics &metrics;
+    ConfigurationTable &configuration;
+    RequestTable &requests;
+    TargetTable &targets;
+    ConnectionTable &connections;
+    AccountTable &accounts;
+    PoisonTable &poison;
+};
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Pipeline/StageRunner.cpp
@@ -0,0 +1,193 @@
+#include "Pipeline/StageRunner.h"
+
+#include "Decisions/DeadlineBudget.h"
+#include "Decisions/Hash.h"
+#include "Decisions/RefusalTable.h"
+#include "Decisions/RetryDecision.h"
+#include "Flow/AttemptRoute.h"
+#include "Flow/Cancellation.h"
+#include "Flow/StageCall.h"
+#include "Kernel/Counter.h"
+#include "Kernel/Metrics.h"
+#include "Kernel/Registry.h"
+#include "Pipeline/GenerationSink.h"
+#include "Pipeline/RequestState.h"
+#include "Pipeline/Services.h"
+#include "Settings/Configuration.h"
+#include "Tables/AccountTable.h"
+#include "Tables/PoisonTable.h"
+#include "Tables/TargetTable.h"
+
+namespace Guavalock
+{
+
+namespace Asio = boost::asio;
+
+namespace
+{
+
+std::vector<DeadlineBudget::Stage> budget(const RequestState &state, std::size_t index, const TargetTable &targets)
+{
+    std::vector<DeadlineBudget::Stage> stages;
+    for (std::size_t it = index; it < state.pipeline.stages.size(); ++it) {
+        const StageSettings &stage = state.pipeline.stages[it];
+        stages.push_back({stage.deadline, targets.bestDuration(Configuration::poolName(state.request.team, stage.pool))});
+    }
+    return stages;
+}
+
+bool targetWasTried(const AttemptResult &result)
+{
+    return !result.target.empty() || result.end != AttemptEnd::NotSent;
+}
+
+} // namespace
+
+StageRunner::StageRunner(const Services &services, std::vector<AttemptRoute *> routes, DeathNotice notice)
+    : m_services(services)
+    , m_routes(std::move(routes))
+    , m_notice(std::move(notice))
+    , m_stages(Registry<Stage>::instance().createAll())
+{
+}
+
+StageRunner::~StageRunner() = default;
+
+std::optional<StageCall> StageRunner::prepare(const RequestState &state, std::size_t index, Reason &reason) const
+{
+    const StageSettings &settings = state.pipeline.stages[index];
+    const Stage &stage = *m_stages.at(settings.stage);
+    std::optional<boost::json::object> input = stage.input(state.context, settings, reason);
+    if (!input) {
+        return std::nullopt;
+    }
+    StageCall call;
+    call.requestId = state.request.id;
+    call.pool = Configuration::poolName(state.request.team, settings.pool);
+    call.model = settings.model;
+    call.path = settings.path;
+    call.idempotencyKey = state.request.idempotencyKey;
+    call.idempotent = settings.idempotent;
+    call.demand.organisation = state.request.organisation;
+    call.demand.weight = state.weight;
+    call.demand.urgent = state.request.urgent;
+    call.demand.affinity = stage.affinity(*input);
+    call.demand.deadline = DeadlineBudget::stageEnd(budget(state, index, m_services.targets), m_services.clock.now(), state.deadline);
+    call.input = std::move(*input);
+    return call;
+}
+
+Asio::awaitable<std::optional<Refusal>> StageRunner::run(RequestState &state, std::size_t index, PartSink *caller,
+                                                         Cancellation &cancellation)
+{
+    const StageSettings &settings = state.pipeline.stages[index];
+    const Stage &stage = *m_stages.at(settings.stage);
+    const bool idempotent = state.pipeline.idempotent();
+    if (!DeadlineBudget::reachable(budget(state, index, m_services.targets), m_services.clock.now(), state.deadline)) {
+        co_return RefusalTable::refusal(RefusalCause::DeadlineUnreachable, state.run.state(), idempotent,
+                                        "too little time is left for the stage " + settings.name);
+    }
+    Reason reason;
+    std::optional<StageCall> call = prepare(state, index, reason);
+    if (!call) {
+        co_return Refusal::of(reason.code, state.run.state(), reason.text);
+    }
+    GenerationSink sink(caller);
+    for (std::size_t attempts = 1;; ++attempts) {
+        call->attemptId = state.request.id + "." + std::to_string(index) + "." + std::to_string(attempts);
+        call->demand.suspect = m_services.poison.standing(state.fingerprint, m_services.clock.now()) == PoisonTable::Standing::Suspect;
+        call->position = sink.progress().position();
+        call->textSoFar = sink.progress().text();
+        AttemptResult result = co_await attempt(*call, sink, cancellation);
+        if (result.end == AttemptEnd::Answered && !complete(stage, result, sink)) {
+            result.end = AttemptEnd::Invalid;
+        }
+        charge(state, settings, result);
+        state.run.ended(result.end);
+        if (result.end == AttemptEnd::Answered) {
+            m_services.poison.answered(state.fingerprint);
+            if (stage.merge(state.context, std::move(result.output), reason)) {
+                co_return std::nullopt;
+            }
+            result.end = AttemptEnd::Invalid;
+            result.detail = reason.text;
+        }
+        if (const std::optional<Refusal> refusal = afterFailure(state, settings, *call, result, attempts)) {
+            co_return refusal;
+        }
+    }
+}
+
+Asio::awaitable<AttemptResult> StageRunner::attempt(const StageCall &call, PartSink &sink, Cancellation &cancellation)
+{
+    AttemptResult result;
+    for (AttemptRoute *it : m_routes) {
+        AttemptResult next = co_await it->attempt(call, sink, cancellation);
+        // A route that found no target leaves the first route's cause standing, which names the nearer fault.
+        const std::optional<RefusalCause> first = result.cause;
+        result = std::move(next);
+        if (targetWasTried(result)) {
+            co_return result;
+        }
+        if (first) {
+            result.cause = first;
+        }
+    }
+    co_return result;
+}
+
+bool StageRunner::complete(const Stage &stage, AttemptResult &result, const GenerationSink &sink) const
+{
+    if (!stage.streams()) {
+        return true;
+    }
+    const boost::json::value *tokens = result.output.if_contains("tokens");
+    if (tokens == nullptr || tokens->to_number<std::size_t>() != sink.progress().position()) {
+        result.detail = "the stream's total differs from the tokens that came";
+        return false;
+    }
+    result.output["text"] = sink.progress().text();
+    result.output["checksum"] = Hash::hex(sink.progress().checksum());
+    return true;
+}
+
+void StageRunner::charge(const RequestState &state, const StageSettings &stage, const AttemptResult &result) const
+{
+    const AccountTable::Account account{state.request.organisation, state.request.team, state.request.pipeline, stage.name};
+    m_services.accounts.charge(account, result.end, result.took, {result.tokensIn, result.tokensOut});
+}
+
+bool StageRunner::noteDeath(const RequestState &state, const AttemptResult &result) const
+{
+    if (!result.targetDied) {
+        return false;
+    }
+    m_services.metrics.counter("target_deaths_total").add();
+    const Clock::TimePoint now = m_services.clock.now();
+    m_notice(state.fingerprint, m_services.poison.died(state.fingerprint, now));
+    return m_services.poison.standing(state.fingerprint, now) == PoisonTable::Standing::Quarantined;
+}
+
+std::optional<Refusal> StageRunner::afterFailure(RequestState &state, const StageSettings &stage, const StageCall &call,
+                                                 const AttemptResult &result, std::size_t attempts) const
+{
+    const bool idempotent = state.pipeline.idempotent();
+    const std::string detail = "stage " + stage.name + ": " + result.detail;
+    if (noteDeath(state, result)) {
+        return RefusalTable::refusal(RefusalCause::Quarantined, state.run.state(), idempotent, detail);
+    }
+    const RetryDecision::Facts facts{result.end, stage.idempotent, attempts, stage.attempts, m_services.targets.retryAllowed(call.pool)};
+    const RetryDecision::Verdict verdict = RetryDecision::decide(facts);
+    const bool timeLeft = m_services.clock.now() < call.demand.deadline;
+    if (verdict.retry && timeLeft && targetWasTried(result)) {
+        if (verdict.spendsBudget) {
+            m_services.targets.spendRetry(call.pool);
+        }
+        m_services.metrics.counter("retries_total").add();
+        return std::nullopt;
+    }
+    const RefusalCause cause = timeLeft ? verdict.cause : RefusalCause::DeadlineUnreachable;
+    return RefusalTable::refusal(result.cause.value_or(cause), state.run.state(), idempotent, detail);
+}
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Pipeline/StageRunner.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "Flow/AttemptResult.h"
+#include "Kernel/Refusal.h"
+#include "Stages/Stage.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Guavalock
+{
+
+class AttemptRoute;
+class Cancellation;
+class GenerationSink;
+class PartSink;
+struct RequestState;
+struct Services;
+struct StageCall;
+struct StageSettings;
+
+/// Runs one stage of a request: attempts, retries and the merge of its output.
+class StageRunner
+{
+public:
+    /// Told when a request has been in flight at a target that died, with the number of deaths known.
+    using DeathNotice = std::function<void(std::uint64_t fingerprint, std::size_t deaths)>;
+
+    /// Routes are tried in order; a later one only when the earlier ones have no target for the stage.
+    StageRunner(const Services &services, std::vector<AttemptRoute *> routes, DeathNotice notice);
+    ~StageRunner();
+
+    /// Runs a stage. Returns nothing when its output is merged into the request's context, or else the refusal.
+    boost::asio::awaitable<std::optional<Refusal>> run(RequestState &state, std::size_t index, PartSink *sink, Cancellation &cancellation);
+
+private:
+    boost::asio::awaitable<AttemptResult> attempt(const StageCall &call, PartSink &sink, Cancellation &cancellation);
+    std::optional<StageCall> prepare(const RequestState &state, std::size_t index, Reason &reason) const;
+    void charge(const RequestState &state, const StageSettings &stage, const AttemptResult &result) const;
+    bool complete(const Stage &stage, AttemptResult &result, const GenerationSink &sink) const;
+    std::optional<Refusal> afterFailure(RequestState &state, const StageSettings &stage, const StageCall &call, const AttemptResult &result,
+                                        std::size_t attempts) const;
+    bool noteDeath(const RequestState &state, const AttemptResult &result) const;
+
+    const Services &m_services;
+    std::vector<AttemptRoute *> m_routes;
+    DeathNotice m_notice;
+    std::map<std::string, std::unique_ptr<Stage>> m_stages;
+};
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Pipeline/TargetProber.cpp
@@ -0,0 +1,78 @@
+#include "Pipeline/TargetProber.h"
+
+#include "Kernel/Counter.h"
+#include "Kernel/Log.h"
+#include "Kernel/Metrics.h"
+#include "Pipeline/Services.h"
+#include "Targets/TargetProbe.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace Guavalock
+{
+
+namespace Asio = boost::asio;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds interval{50};
+constexpr std::chrono::milliseconds reportLife{2'000};
+constexpr double probesPerSecond = 8.0;
+constexpr std::size_t probeBurst = 64;
+
+} // namespace
+
+TargetProber::TargetProber(const Services &services)
+    : m_services(services)
+    , m_strand(Asio::make_strand(services.executor))
+    , m_plan(probesPerSecond, probeBurst)
+{
+}
+
+void TargetProber::start()
+{
+    Asio::co_spawn(m_strand, probe(), Asio::detached);
+}
+
+Asio::awaitable<void> TargetProber::probe()
+{
+    Asio::steady_timer timer(m_strand);
+    for (;;) {
+        const Clock::TimePoint now = m_services.clock.now();
+        std::vector<TargetTable::Probe> due = m_services.targets.dueProbes(now, reportLife);
+        std::erase_if(due, [this](const TargetTable::Probe &it) { return m_asking.contains(it.target); });
+        due.resize(m_plan.take(due.size(), now));
+        for (TargetTable::Probe &it : due) {
+            m_asking.insert(it.target);
+            Asio::co_spawn(m_strand, ask(std::move(it)), Asio::detached);
+        }
+        m_services.targets.serveWaiting(now);
+        timer.expires_after(interval);
+        co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
+    }
+}
+
+Asio::awaitable<void> TargetProber::ask(TargetTable::Probe probe)
+{
+    m_services.metrics.counter("target_probes_total").add();
+    const std::optional<LoadReport> report = co_await TargetProbe::ask(m_strand, probe.address);
+    m_asking.erase(probe.target);
+    const Clock::TimePoint now = m_services.clock.now();
+    if (!report) {
+        m_services.metrics.counter("target_probe_failures_total").add();
+        m_services.targets.probeFailed(probe.pool, probe.target, now);
+        co_return;
+    }
+    if (m_services.targets.reported(probe.pool, probe.target, *report, now)) {
+        Log::state("targets", "target-state",
+                   {{"target", probe.target}, {"state", report->warm ? "warm" : "cold"}, {"incarnation", report->incarnation}});
+    }
+}
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Platform/ClaimService.cpp
@@ -0,0 +1,128 @@
+#include "Platform/ClaimService.h"
+
+#include "Flow/Cancellation.h"
+#include "Flow/OneShot.h"
+#include "Flow/PipelineAnswer.h"
+#include "Kernel/Counter.h"
+#include "Kernel/Metrics.h"
+#include "Pipeline/Services.h"
+#include "Platform/LogRecords.h"
+#include "Platform/LogWriter.h"
+
+namespace Guavalock
+{
+
+namespace Asio = boost::asio;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds retrySoon{500};
+
+using Verdict = ClaimLedger::Verdict;
+
+Refusal refusalFor(ResultCode code, RunState run)
+{
+    Refusal refusal{code, run, std::string(resultCodeInfo(code).meaning), std::nullopt};
+    if (run == RunState::No) {
+        refusal.retryAfter = retrySoon;
+    }
+    return refusal;
+}
+
+} // namespace
+
+ClaimService::ClaimService(const Services &services, LogWriter &writer)
+    : m_services(services)
+    , m_writer(writer)
+    , m_keys(keyLife)
+    , m_follower(services, LogRecords::keyStream, [this](const PlatformLog::Batch &batch) { took(batch); })
+{
+}
+
+void ClaimService::start()
+{
+    m_follower.start(0);
+}
+
+std::string ClaimService::newClaimId()
+{
+    return m_services.incarnation + ".k" + std::to_string(++m_claims);
+}
+
+Asio::awaitable<bool> ClaimService::claim(const std::string &key, Clock::WallTime issued, Clock::TimePoint deadline,
+                                          Cancellation &cancellation, PipelineAnswer &answer)
+{
+    const std::string claimId = newClaimId();
+    const auto decided = std::make_shared<OneShot<Verdict>>(cancellation.strand());
+    std::shared_ptr<const PipelineAnswer> kept;
+    const KeyTable::Standing standing = m_keys.begin(key, claimId, [decided](Verdict verdict) { decided->set(verdict); }, kept);
+    switch (standing) {
+    case KeyTable::Standing::Answered:
+        m_services.metrics.counter("keys_answered_again_total").add();
+        answer = *kept;
+        co_return false;
+    case KeyTable::Standing::InProgress:
+        answer.refusal = refusalFor(ResultCode::KeyInUse, RunState::Unknown);
+        co_return false;
+    case KeyTable::Standing::Elsewhere:
+        answer.refusal = refusalFor(ResultCode::KeyOutcomeUnknown, RunState::Unknown);
+        co_return false;
+    case KeyTable::Standing::Free:
+        break;
+    }
+    const Clock::TimePoint until = std::min(deadline, m_services.clock.now() + claimTimeout);
+    const ClaimLedger::Claim claim{claimId, key, m_services.incarnation, issued};
+    m_writer.append(LogWriter::Priority::Keys, LogRecords::keyStream, {claimId, LogRecords::write(claim)}, until);
+    const std::optional<Verdict> verdict = co_await decided->wait(until, cancellation);
+    if (verdict == Verdict::Won) {
+        co_return true;
+    }
+    if (!verdict) {
+        giveUp(key, claimId);
+        answer.refusal = refusalFor(ResultCode::KeyNotClaimed, RunState::No);
+        co_return false;
+    }
+    answer.refusal = refusalFor(ResultCode::KeyOutcomeUnknown, RunState::Unknown);
+    co_return false;
+}
+
+void ClaimService::giveUp(const std::string &key, const std::string &claimId)
+{
+    m_services.metrics.counter("key_claims_given_up_total").add();
+    m_writer.withdraw(claimId, [this, key, claimId](bool certain) {
+        if (m_keys.abandon(key, certain)) {
+            release(key, claimId);
+        }
+    });
+}
+
+void ClaimService::finished(const std::string &key, const PipelineAnswer &answer)
+{
+    if (const std::optional<std::string> claimId = m_keys.finished(key, std::make_shared<PipelineAnswer>(answer))) {
+        release(key, *claimId);
+    }
+}
+
+void ClaimService::release(const std::string &key, const std::string &claimId)
+{
+    const Clock::TimePoint giveUpAt = m_services.clock.now() + keyLife;
+    m_writer.append(LogWriter::Priority::Keys, LogRecords::keyStream, {claimId + ".r", LogRecords::write(LogRecords::Release{key, claimId})},
+                    giveUpAt);
+}
+
+void ClaimService::took(const PlatformLog::Batch &batch)
+{
+    for (const PlatformLog::Record &it : batch.records) {
+        m_writer.seen(it.id);
+        if (const std::optional<ClaimLedger::Claim> claim = LogRecords::claim(it.id, it.data)) {
+            if (m_keys.apply(*claim, it.time)) {
+                release(claim->key, claim->id);
+            }
+        } else if (const std::optional<LogRecords::Release> released = LogRecords::release(it.data)) {
+            m_keys.applyRelease(released->key, released->claimId);
+        }
+    }
+}
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Platform/ClaimService.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "Pipeline/KeyClaims.h"
+#include "Platform/LogFollower.h"
+#include "Tables/KeyTable.h"
+
+#include <atomic>
+
+namespace Guavalock
+{
+
+class LogWriter;
+
+/// Claims idempotency keys in the log: the first claim in its order is the only one that may ever run.
+class ClaimService : public KeyClaims
+{
+public:
+    ClaimService(const Services &services, LogWriter &writer);
+
+    void start();
+
+    boost::asio::awaitable<bool> claim(const std::string &key, Clock::WallTime issued, Clock::TimePoint deadline,
+                                       Cancellation &cancellation, PipelineAnswer &answer) override;
+    void finished(const std::string &key, const PipelineAnswer &answer) override;
+
+private:
+    static constexpr std::chrono::seconds keyLife{3600};
+    static constexpr std::chrono::milliseconds claimTimeout{3'000};
+
+    void took(const PlatformLog::Batch &batch);
+    void release(const std::string &key, const std::string &claimId);
+    void giveUp(const std::string &key, const std::string &claimId);
+    std::string newClaimId();
+
+    const Services &m_services;
+    LogWriter &m_writer;
+    KeyTable m_keys;
+    LogFollower m_follower;
+    std::atomic<std::uint64_t> m_claims{0};
+};
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Platform/ConfigurationService.cpp
@@ -0,0 +1,173 @@
+#include "Platform/ConfigurationService.h"
+
+#include "Flow/Cancellation.h"
+#include "Flow/OneShot.h"
+#include "Kernel/Log.h"
+#include "Pipeline/Services.h"
+#include "Platform/LogRecords.h"
+#include "Platform/LogWriter.h"
+#include "Settings/Configuration.h"
+#include "Settings/ConfigurationDocument.h"
+#include "Settings/SettingsFile.h"
+#include "Tables/TargetTable.h"
+
+namespace Guavalock
+{
+
+namespace Asio = boost::asio;
+
+ConfigurationService::ConfigurationService(const Services &services, LogWriter &writer)
+    : m_services(services)
+    , m_writer(writer)
+    , m_follower(services, LogRecords::configurationStream, [this](const PlatformLog::Batch &batch) { took(batch); })
+{
+}
+
+void ConfigurationService::start(Relay relay)
+{
+    m_relay = std::move(relay);
+    m_follower.start(0);
+}
+
+bool ConfigurationService::check(const ConfigurationRecord &record, Reason &reason)
+{
+    if (!ConfigurationDocument::isKnownPath(record.path)) {
+        reason = {ResultCode::PathInvalid, "'" + record.path + "' is not a configuration path; use one of " + ConfigurationDocument::knownPaths()};
+        return false;
+    }
+    if (!record.value) {
+        return true;
+    }
+    SettingsErrors errors;
+    const std::optional<SettingsFile> file = SettingsFile::parse(*record.value, record.path, errors);
+    if (file) {
+        ConfigurationDocument::check(record.path, file->root(), errors);
+    }
+    if (!errors.empty()) {
+        reason = {ResultCode::SettingsInvalid, errors.front().text()};
+        return false;
+    }
+    return true;
+}
+
+Asio::awaitable<std::optional<std::uint64_t>> ConfigurationService::put(ConfigurationRecord record, Cancellation &cancellation,
+                                                                        Reason &reason)
+{
+    if (!check(record, reason)) {
+        co_return std::nullopt;
+    }
+    record.id = m_services.incarnation + ".c" + std::to_string(++m_changes);
+    const auto decided = std::make_shared<OneShot<ConfigurationTable::Outcome>>(cancellation.strand());
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_waiting[record.id] = [decided](ConfigurationTable::Outcome outcome) { decided->set(std::move(outcome)); };
+    }
+    const Clock::TimePoint until = m_services.clock.now() + putTimeout;
+    m_writer.append(LogWriter::Priority::Configuration, LogRecords::configurationStream, {record.id, LogRecords::write(record)}, until);
+    const std::optional<ConfigurationTable::Outcome> outcome = co_await decided->wait(until, cancellation);
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_waiting.erase(record.id);
+    }
+    if (!outcome) {
+        reason = {ResultCode::AppendUnsettled,
+                  "the change was not read back in time; read '" + record.path + "' again to see whether it is in force"};
+        co_return std::nullopt;
+    }
+    if (outcome->verdict != ConfigurationTree::Verdict::Accepted) {
+        reason = {ResultCode::VersionConflict, "the subtree is at version " + std::to_string(outcome->version) + ", not "
+                      + std::to_string(record.expectedVersion) + "; read it again and repeat the change"};
+        co_return std::nullopt;
+    }
+    co_return outcome->version;
+}
+
+void ConfigurationService::took(const PlatformLog::Batch &batch)
+{
+    std::vector<ConfigurationTable::Stamped> records;
+    for (const PlatformLog::Record &it : batch.records) {
+        m_writer.seen(it.id);
+        if (std::optional<ConfigurationRecord> record = LogRecords::configuration(it.id, it.data)) {
+            records.push_back({it.offset, std::move(*record)});
+        }
+    }
+    apply(records, batch.next);
+}
+
+bool ConfigurationService::learned(const std::vector<ConfigurationTable::Stamped> &records, std::uint64_t from, std::uint64_t next)
+{
+    if (from > m_services.configuration.nextOffset()) {
+        return false;
+    }
+    apply(records, next);
+    return true;
+}
+
+void ConfigurationService::restored(ConfigurationTree tree)
+{
+    const std::uint64_t next = tree.nextOffset();
+    {
+        const std::scoped_lock lock(m_applying);
+        if (!m_services.configuration.restore(std::move(tree))) {
+            return;
+        }
+        adopt();
+    }
+    Log::state("configuration", "restored", {{"next", std::to_string(next)}});
+}
+
+void ConfigurationService::apply(const std::vector<ConfigurationTable::Stamped> &records, std::uint64_t next)
+{
+    const std::uint64_t from = m_services.configuration.nextOffset();
+    if (next <= from) {
+        return;
+    }
+    std::vector<ConfigurationTable::Outcome> outcomes;
+    {
+        // Applying and adopting happen as one step, so that an older configuration is never adopted after a newer one.
+        const std::scoped_lock lock(m_applying);
+        outcomes = m_services.configuration.apply(records, next);
+        adopt();
+    }
+    Log::state("configuration", "applied", {{"next", std::to_string(next)}, {"records", std::to_string(records.size())}});
+    for (const auto &[path, text] : m_services.configuration.current()->rejected) {
+        Log::warning("configuration", "document-rejected", {{"path", path}, {"reason", text}});
+    }
+    decide(outcomes);
+    if (m_relay) {
+        m_relay(records, from, next);
+    }
+}
+
+void ConfigurationService::adopt() const
+{
+    m_services.targets.adopt(*m_services.configuration.current());
+}
+
+void ConfigurationService::decide(const std::vector<ConfigurationTable::Outcome> &outcomes)
+{
+    for (const ConfigurationTable::Outcome &it : outcomes) {
+        if (it.verdict == ConfigurationTree::Verdict::AlreadyApplied) {
+            continue;
+        }
+        Decided decided;
+        {
+            const std::scoped_lock lock(m_mutex);
+            const auto waiting = m_waiting.find(it.id);
+            if (waiting != m_waiting.end()) {
+                decided = std::move(waiting->second);
+                m_waiting.erase(waiting);
+            }
+        }
+        if (decided) {
+            decided(it);
+        }
+    }
+}
+
+Clock::Duration ConfigurationService::age(Clock::TimePoint now) const
+{
+    return m_follower.age(now);
+}
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Platform/HttpPlatformLog.cpp
@@ -0,0 +1,111 @@
+#include "Kernel/Registration.h"
+#include "Net/HttpCaller.h"
+#include "Platform/PlatformLog.h"
+#include "Targets/JsonText.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+
+namespace Guavalock
+{
+
+namespace Asio = boost::asio;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds callTimeout{2'000};
+constexpr unsigned statusOk = 200;
+constexpr unsigned firstClientError = 400;
+
+std::uint64_t number(const boost::json::object &object, const char *name)
+{
+    const boost::json::value *value = object.if_contains(name);
+    return value != nullptr && value->is_int64() ? static_cast<std::uint64_t>(value->get_int64()) : 0;
+}
+
+std::string text(const boost::json::object &object, const char *name)
+{
+    const boost::json::value *value = object.if_contains(name);
+    return value != nullptr && value->is_string() ? std::string(value->get_string()) : std::string();
+}
+
+PlatformLog::Record readRecord(const boost::json::object &object)
+{
+    PlatformLog::Record record;
+    record.offset = number(object, "offset");
+    record.time = Clock::WallTime(std::chrono::milliseconds(number(object, "time_ms")));
+    record.id = text(object, "id");
+    record.data = text(object, "data");
+    return record;
+}
+
+/// The log service as HTTP with JSON; docs/PLATFORM.md describes the calls.
+class HttpPlatformLog : public PlatformLog
+{
+public:
+    HttpPlatformLog(Asio::any_io_executor strand, const Endpoint &endpoint)
+        : m_caller(std::move(strand), endpoint)
+    {
+    }
+
+    Asio::awaitable<AppendEnd> append(std::string stream, std::vector<Entry> entries) override
+    {
+        boost::json::array list;
+        for (const Entry &it : entries) {
+            list.push_back(boost::json::object{{"id", it.id}, {"data", it.data}});
+        }
+        HttpCaller::Request request;
+        request.method = "POST";
+        request.path = "/v1/logs/" + stream;
+        request.body = boost::json::serialize(boost::json::object{{"entries", std::move(list)}});
+        const std::optional<HttpCaller::Answer> answer = co_await m_caller.call(std::move(request), callTimeout);
+        if (!answer) {
+            co_return AppendEnd::Unknown;
+        }
+        if (answer->status == statusOk) {
+            co_return AppendEnd::Appended;
+        }
+        co_return answer->status >= firstClientError ? AppendEnd::Refused : AppendEnd::Unknown;
+    }
+
+    Asio::awaitable<std::optional<Batch>> read(std::string stream, std::uint64_t from, std::chrono::milliseconds wait) override
+    {
+        HttpCaller::Request request;
+        request.path = "/v1/logs/" + stream + "?from=" + std::to_string(from) + "&wait_ms=" + std::to_string(wait.count());
+        const std::optional<HttpCaller::Answer> answer = co_await m_caller.call(std::move(request), callTimeout + wait);
+        if (!answer || answer->status != statusOk) {
+            co_return std::nullopt;
+        }
+        co_return readBatch(answer->body);
+    }
+
+private:
+    static std::optional<Batch> readBatch(const std::string &body)
+    {
+        Reason reason;
+        const std::optional<boost::json::object> object = JsonText::object(body, ResultCode::PlatformRejected, reason);
+        if (!object || !object->contains("next") || !object->contains("records") || !object->at("records").is_array()) {
+            return std::nullopt;
+        }
+        Batch batch;
+        batch.next = number(*object, "next");
+        batch.oldest = number(*object, "oldest");
+        for (const boost::json::value &it : object->at("records").get_array()) {
+            if (it.is_object()) {
+                batch.records.push_back(readRecord(it.get_object()));
+            }
+        }
+        return batch;
+    }
+
+    HttpCaller m_caller;
+};
+
+const Registration<PlatformLog, HttpPlatformLog, Asio::any_io_executor, const Endpoint &> registration("http", "the log service over HTTP");
+
+} // namespace
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Platform/LogFollower.cpp
@@ -0,0 +1,92 @@
+#include "Platform/LogFollower.h"
+
+#include "Decisions/Hash.h"
+#include "Kernel/Counter.h"
+#include "Kernel/Log.h"
+#include "Kernel/Metrics.h"
+#include "Kernel/Registry.h"
+#include "Pipeline/Services.h"
+#include "Settings/ProcessSettings.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace Guavalock
+{
+
+namespace Asio = boost::asio;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds longPoll{1'000};
+constexpr std::chrono::milliseconds firstWait{50};
+constexpr std::chrono::milliseconds longestWait{2'000};
+
+} // namespace
+
+LogFollower::LogFollower(const Services &services, std::string stream, Handler handler)
+    : m_services(services)
+    , m_strand(Asio::make_strand(services.executor))
+    , m_log(Registry<PlatformLog, Asio::any_io_executor, const Endpoint &>::instance().create(services.settings.platformPlugin, m_strand,
+                                                                                              services.settings.platform))
+    , m_stream(std::move(stream))
+    , m_handler(std::move(handler))
+    , m_backoff(firstWait, longestWait)
+    , m_random(Hash::of(services.incarnation + m_stream))
+    , m_failures(services.metrics.counter("log_read_failures_total{stream=\"" + m_stream + "\"}"))
+{
+}
+
+LogFollower::~LogFollower() = default;
+
+void LogFollower::start(std::uint64_t from)
+{
+    m_next = from;
+    Asio::co_spawn(m_strand, follow(), Asio::detached);
+}
+
+Asio::awaitable<void> LogFollower::follow()
+{
+    Asio::steady_timer timer(m_strand);
+    for (;;) {
+        const std::optional<PlatformLog::Batch> batch = co_await m_log->read(m_stream, m_next, longPoll);
+        if (batch) {
+            took(*batch);
+            continue;
+        }
+        m_failures.add();
+        if (m_reachable) {
+            m_reachable = false;
+            Log::warning("platform", "log-unreachable", {{"stream", m_stream}, {"next", std::to_string(m_next)}});
+        }
+        timer.expires_after(m_backoff.next(m_random));
+        co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
+    }
+}
+
+void LogFollower::took(const PlatformLog::Batch &batch)
+{
+    if (!m_reachable) {
+        m_reachable = true;
+        Log::state("platform", "log-reachable", {{"stream", m_stream}, {"next", std::to_string(batch.next)}});
+    }
+    if (batch.oldest > m_next) {
+        Log::warning("platform", "log-truncated", {{"stream", m_stream}, {"wanted", std::to_string(m_next)}, {"oldest", std::to_string(batch.oldest)}});
+    }
+    m_backoff.reset();
+    m_next = batch.next;
+    m_lastRead.store(m_services.clock.now().time_since_epoch().count());
+    m_handler(batch);
+}
+
+Clock::Duration LogFollower::age(Clock::TimePoint now) const
+{
+    return now.time_since_epoch() - Clock::Duration(m_lastRead.load());
+}
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Platform/LogWriter.cpp
@@ -0,0 +1,154 @@
+#include "Platform/LogWriter.h"
+
+#include "Decisions/Hash.h"
+#include "Kernel/Counter.h"
+#include "Kernel/Metrics.h"
+#include "Kernel/Registry.h"
+#include "Pipeline/Services.h"
+#include "Settings/ProcessSettings.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace Guavalock
+{
+
+namespace Asio = boost::asio;
+
+namespace
+{
+
+constexpr std::size_t maxBatch = 64;
+constexpr std::chrono::milliseconds batchInterval{5}; ///< Bounds a daemon's appends to 200 a second.
+constexpr std::chrono::milliseconds settlingTime{1'500};
+constexpr std::chrono::milliseconds firstWait{20};
+constexpr std::chrono::milliseconds longestWait{1'000};
+
+} // namespace
+
+LogWriter::LogWriter(const Services &services)
+    : m_services(services)
+    , m_strand(Asio::make_strand(services.executor))
+    , m_log(Registry<PlatformLog, Asio::any_io_executor, const Endpoint &>::instance().create(services.settings.platformPlugin, m_strand,
+                                                                                              services.settings.platform))
+    , m_timer(m_strand)
+    , m_backoff(firstWait, longestWait)
+    , m_random(Hash::of(services.incarnation))
+    , m_appends(services.metrics.counter("log_appends_total"))
+    , m_failures(services.metrics.counter("log_append_failures_total"))
+{
+}
+
+LogWriter::~LogWriter() = default;
+
+void LogWriter::append(Priority priority, std::string stream, PlatformLog::Entry entry, Clock::TimePoint giveUp)
+{
+    Asio::post(m_strand, [this, priority, pending = Pending{std::move(stream), std::move(entry), giveUp, {}, false}]() mutable {
+        m_queues[priority].push_back(std::move(pending));
+        wake();
+    });
+}
+
+void LogWriter::seen(const std::string &id)
+{
+    Asio::post(m_strand, [this, id] {
+        for (auto &[priority, queue] : m_queues) {
+            queue.remove_if([&](const Pending &it) { return it.entry.id == id; });
+        }
+    });
+}
+
+void LogWriter::withdraw(std::string id, std::function<void(bool)> done)
+{
+    Asio::post(m_strand, [this, id = std::move(id), done = std::move(done)] {
+        bool unsent = false;
+        for (auto &[priority, queue] : m_queues) {
+            const auto it = std::ranges::find(queue, id, [](const Pending &pending) -> const std::string & { return pending.entry.id; });
+            if (it != queue.end()) {
+                unsent = !it->mayBeInLog;
+                queue.erase(it);
+            }
+        }
+        done(unsent);
+    });
+}
+
+void LogWriter::wake()
+{
+    if (m_writing) {
+        return;
+    }
+    m_writing = true;
+    Asio::co_spawn(m_strand, write(), Asio::detached);
+}
+
+Asio::awaitable<void> LogWriter::write()
+{
+    const auto empty = [this] { return std::ranges::all_of(m_queues, [](const auto &it) { return it.second.empty(); }); };
+    while (!empty()) {
+        const Clock::TimePoint now = m_services.clock.now();
+        dropLate(now);
+        for (auto &[priority, queue] : m_queues) {
+            co_await writeBatch(queue, now);
+        }
+        m_timer.expires_after(batchInterval);
+        co_await m_timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
+    }
+    m_writing = false;
+}
+
+void LogWriter::dropLate(Clock::TimePoint now)
+{
+    for (auto &[priority, queue] : m_queues) {
+        queue.remove_if([now](const Pending &it) { return it.giveUp <= now; });
+    }
+}
+
+Asio::awaitable<void> LogWriter::writeBatch(Queue &queue, Clock::TimePoint now)
+{
+    std::vector<PlatformLog::Entry> entries;
+    std::map<std::string, bool> sentBefore;
+    std::string stream;
+    for (Pending &it : queue) {
+        const bool fits = entries.size() < maxBatch && (stream.empty() || it.stream == stream);
+        if (fits && it.notBefore <= now) {
+            stream = it.stream;
+            entries.push_back(it.entry);
+            sentBefore[it.entry.id] = it.mayBeInLog;
+            it.mayBeInLog = true;
+        }
+    }
+    if (entries.empty()) {
+        co_return;
+    }
+    m_appends.add();
+    const PlatformLog::AppendEnd end = co_await m_log->append(stream, std::move(entries));
+    const Clock::TimePoint after = m_services.clock.now();
+    const bool appended = end == PlatformLog::AppendEnd::Appended;
+    const bool refused = end == PlatformLog::AppendEnd::Refused;
+    Clock::Duration wait = settlingTime;
+    if (appended) {
+        m_backoff.reset();
+    } else {
+        m_failures.add();
+    }
+    if (refused) {
+        wait = m_backoff.next(m_random);
+    }
+    // The queue may have changed while the append was under way, so the entries are found again by id.
+    for (Pending &it : queue) {
+        const auto before = sentBefore.find(it.entry.id);
+        if (before != sentBefore.end()) {
+            it.notBefore = after + wait;
+            it.mayBeInLog = before->second || !refused;
+        }
+    }
+}
+
+} // namespace Guavalock
--- a/Source/Settings/ProcessSettings.cpp
+++ b/Source/Settings/ProcessSettings.cpp
@@ -2,6 +2,7 @@
 
 #include "Settings/FieldTable.h"
 
+#include <algorithm>
 #include <set>
 
 namespace Guavalock
@@ -13,13 +14,25 @@
 constexpr std::size_t maxWorkers = 256;
 constexpr std::size_t minKeyLength = 16;
 
+constexpr const char *secretForm = "a shared secret of at least 16 characters";
+
 SettingsCheck<std::string> secret()
 {
     return [](const std::string &it) -> std::optional<std::string> {
         if (it.size() >= minKeyLength) {
             return std::nullopt;
         }
-        return "a shared secret of at least 16 characters";
+        return secretForm;
+    };
+}
+
+SettingsCheck<std::vector<std::string>> secrets()
+{
+    return [](const std::vector<std::string> &list) -> std::optional<std::string> {
+        if (std::ranges::all_of(list, [](const std::string &it) { return it.size() >= minKeyLength; })) {
+            return std::nullopt;
+        }
+        return "a list of shared secrets of at least 16 characters each";
     };
 }
 
@@ -35,7 +48,8 @@
         it.required("callers", &ProcessSettings::callers, "the IP number and port for callers");
         it.required("administration", &ProcessSettings::administration, "the IP number and port for administration");
         it.required("peer_listen", &ProcessSettings::peerListen, "the IP number and port for peers");
-        it.required("peer_key", &ProcessSettings::peerKey, "a shared secret of at least 16 characters", secret());
+        it.required("peer_key", &ProcessSettings::peerKey, secretForm, secret());
+        it.optional("accepted_peer_keys", &ProcessSettings::acceptedPeerKeys, secrets());
         it.optional("peers", &ProcessSettings::peers);
         it.optional("platform_plugin", &ProcessSettings::platformPlugin, pluginOf("platform"));
         it.required("platform", &ProcessSettings::platform, "the IP number and port of the platform's log service");
--- a/Source/Settings/ProcessSettings.h
+++ b/Source/Settings/ProcessSettings.h
@@ -23,6 +23,7 @@
     Endpoint administration;
     Endpoint peerListen;
     std::string peerKey;
+    std::vector<std::string> acceptedPeerKeys; ///< Also taken from peers, while a key is replaced.
     std::vector<PeerSettings> peers; ///< Every daemon of the deployment; this one may be among them.
     std::string platformPlugin = "http";
     Endpoint platform;
--- /dev/null
+++ b/Source/Stages/Fields.cpp
@@ -0,0 +1,41 @@
+#include "Stages/Fields.h"
+
+#include <boost/json/value.hpp>
+
+#include <algorithm>
+
+namespace Guavalock
+{
+
+std::optional<std::string> Fields::text(const boost::json::object &context, const char *name, Reason &reason)
+{
+    const boost::json::value *value = context.if_contains(name);
+    if (value == nullptr || !value->is_string()) {
+        reason = {ResultCode::MalformedRequest, std::string("the field '") + name + "' is missing or not text; send it as a JSON string"};
+        return std::nullopt;
+    }
+    return std::string(value->get_string());
+}
+
+std::size_t Fields::count(const boost::json::object &context, const char *name, std::size_t limit)
+{
+    const boost::json::value *value = context.if_contains(name);
+    if (value == nullptr || !value->is_int64()) {
+        return limit;
+    }
+    const auto most = static_cast<std::int64_t>(limit);
+    return static_cast<std::size_t>(std::clamp<std::int64_t>(value->get_int64(), 1, most));
+}
+
+bool Fields::move(boost::json::object &from, boost::json::object &to, const char *name, Reason &reason)
+{
+    const auto it = from.find(name);
+    if (it == from.end()) {
+        reason = {ResultCode::AnswerInvalid, std::string("the target's answer lacks the field '") + name + "'"};
+        return false;
+    }
+    to[name] = std::move(it->value());
+    return true;
+}
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Stages/RetrieveStage.cpp
@@ -0,0 +1,42 @@
+#include "Kernel/Registration.h"
+#include "Settings/StageSettings.h"
+#include "Stages/Fields.h"
+#include "Stages/Stage.h"
+
+#include <boost/json/array.hpp>
+
+namespace Guavalock
+{
+
+namespace
+{
+
+/// Finds `documents` for the `input` text, with its `embedding` when an encode stage came before.
+class RetrieveStage : public Stage
+{
+public:
+    std::optional<boost::json::object> input(const boost::json::object &context, const StageSettings &settings,
+                                             Reason &reason) const override
+    {
+        const std::optional<std::string> text = Fields::text(context, "input", reason);
+        if (!text) {
+            return std::nullopt;
+        }
+        boost::json::object input{{"query", *text}, {"top_k", Fields::count(context, "top_k", settings.topK)}};
+        if (const boost::json::value *embedding = context.if_contains("embedding")) {
+            input["embedding"] = *embedding;
+        }
+        return input;
+    }
+
+    bool merge(boost::json::object &context, boost::json::object output, Reason &reason) const override
+    {
+        return Fields::move(output, context, "documents", reason);
+    }
+};
+
+const Registration<Stage, RetrieveStage> registration("retrieve", "an embedding to documents");
+
+} // namespace
+
+} // namespace Guavalock
--- a/Source/Tables/ConfigurationTable.cpp
+++ b/Source/Tables/ConfigurationTable.cpp
@@ -35,6 +35,17 @@
     return outcomes;
 }
 
+bool ConfigurationTable::restore(ConfigurationTree tree)
+{
+    const std::scoped_lock lock(m_mutex);
+    if (tree.nextOffset() <= m_tree.nextOffset()) {
+        return false;
+    }
+    m_tree = std::move(tree);
+    m_current = Configuration::build(m_tree.documents(), m_tree.nextOffset());
+    return true;
+}
+
 ConfigurationTree ConfigurationTable::tree() const
 {
     const std::scoped_lock lock(m_mutex);
--- a/Source/Tables/ConfigurationTable.h
+++ b/Source/Tables/ConfigurationTable.h
@@ -36,6 +36,9 @@
     /// Applies records in the order of their offsets, and puts the new configuration in force if any was accepted.
     std::vector<Outcome> apply(const std::vector<Stamped> &records, std::uint64_t nextOffset);
 
+    /// Takes over another daemon's tree when that has applied more of the log. Returns whether it did.
+    bool restore(ConfigurationTree tree);
+
     /// Returns the tree as it stands.
     ConfigurationTree tree() const;
 
--- a/Source/Tables/TargetTable.cpp
+++ b/Source/Tables/TargetTable.cpp
@@ -210,6 +210,19 @@
     return it == m_pools.end() ? Clock::Duration::zero() : it->second->durations().low();
 }
 
+std::set<std::string> TargetTable::usablePools(Clock::TimePoint now) const
+{
+    std::set<std::string> names;
+    const std::scoped_lock lock(m_mutex);
+    for (const auto &[name, pool] : m_pools) {
+        const bool usable = std::ranges::any_of(pool->members(), [now](const TargetPool::Member &it) { return it.state.usable(now); });
+        if (usable) {
+            names.insert(name);
+        }
+    }
+    return names;
+}
+
 std::vector<TargetTable::Row> TargetTable::rows() const
 {
     std::vector<Row> rows;
--- a/Source/Tables/TargetTable.h
+++ b/Source/Tables/TargetTable.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -85,6 +86,9 @@
     /// Returns the shortest time that calls to a pool are seen to take; zero when not known.
     Clock::Duration bestDuration(const std::string &pool) const;
 
+    /// Returns the pools with a target that may be given work here.
+    std::set<std::string> usablePools(Clock::TimePoint now) const;
+
     std::vector<Row> rows() const;
 
 private:
--- /dev/null
+++ b/Source/Targets/TargetExchange.cpp
@@ -0,0 +1,290 @@
+#include "Targets/TargetExchange.h"
+
+#include "Flow/CancelScope.h"
+#include "Flow/DeadlineTimer.h"
+#include "Flow/PartSink.h"
+#include "Tables/Slot.h"
+#include "Targets/ConnectionTable.h"
+#include "Targets/LoadHeader.h"
+#include "Targets/SseReader.h"
+#include "Targets/StreamEvent.h"
+#include "Targets/TargetCall.h"
+#include "Net/Connection.h"
+#include "Targets/TargetDialect.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <array>
+
+namespace Guavalock
+{
+
+namespace Asio = boost::asio;
+namespace Http = boost::beast::http;
+
+namespace
+{
+
+constexpr std::size_t readSize = 16 * 1024;
+constexpr std::uint64_t maxAnswerBytes = 64ULL * 1024 * 1024;
+constexpr unsigned httpVersion = 11;
+
+constexpr const char *attemptHeader = "X-Attempt-Id";
+constexpr const char *requestHeader = "X-Request-Id";
+constexpr const char *deadlineHeader = "X-Deadline-Ms";
+constexpr const char *priorityHeader = "X-Priority";
+constexpr const char *keyHeader = "Idempotency-Key";
+constexpr const char *runHeader = "X-Run";
+
+Http::request<Http::string_body> requestFor(const TargetExchange::Wanted &wanted)
+{
+    const TargetCall &call = wanted.call;
+    Http::request<Http::string_body> request(Http::verb::post, wanted.dialect.path(call), httpVersion);
+    request.set(Http::field::host, wanted.slot.address.text());
+    request.set(Http::field::content_type, "application/json");
+    request.set(attemptHeader, call.attemptId);
+    request.set(requestHeader, call.requestId);
+    request.set(deadlineHeader, std::to_string(call.remaining.count()));
+    request.set(priorityHeader, call.urgent ? "interactive" : "batch");
+    if (!call.idempotencyKey.empty()) {
+        request.set(keyHeader, call.idempotencyKey);
+    }
+    request.body() = wanted.dialect.body(call);
+    request.prepare_payload();
+    return request;
+}
+
+} // namespace
+
+TargetExchange::TargetExchange(ConnectionTable &connections, Cancellation &cancellation, PartSink *sink)
+    : m_connections(connections)
+    , m_cancellation(cancellation)
+    , m_sink(sink)
+{
+}
+
+TargetExchange::~TargetExchange() = default;
+
+Asio::awaitable<AttemptResult> TargetExchange::run(Wanted wanted)
+{
+    if (m_cancellation.cause()) {
+        broken("cancelled before the call");
+        co_return std::move(m_result);
+    }
+    const DeadlineTimer timer(m_cancellation.strand(), wanted.end, [this] {
+        if (m_connection) {
+            m_connection->close();
+        }
+    });
+    m_timer = &timer;
+    const CancelScope scope(m_cancellation, [this] {
+        if (m_connection) {
+            m_connection->close();
+        }
+    });
+    if (co_await connect(wanted) && co_await send(wanted)) {
+        co_await readAnswer(wanted);
+    }
+    const bool whole = m_parser && m_parser->is_done() && m_parser->keep_alive();
+    if (whole && m_result.end == AttemptEnd::Answered) {
+        m_connections.giveBack(std::move(m_connection));
+    }
+    co_return std::move(m_result);
+}
+
+Asio::awaitable<bool> TargetExchange::connect(const Wanted &wanted)
+{
+    if (wanted.mayReuse) {
+        m_connection = m_connections.takeIdle(wanted.slot.address);
+        if (m_connection) {
+            co_return true;
+        }
+    }
+    m_connection = m_connections.create(wanted.slot.address);
+    const DeadlineTimer timer(m_cancellation.strand(), Clock::TimePoint::clock::now() + wanted.slot.connectTimeout,
+                              [this] { m_connection->close(); });
+    if (!co_await m_connection->connect()) {
+        broken("the target " + wanted.slot.target + " does not accept connections");
+        co_return false;
+    }
+    co_return true;
+}
+
+Asio::awaitable<bool> TargetExchange::send(const Wanted &wanted)
+{
+    const Http::request<Http::string_body> request = requestFor(wanted);
+    // From here on a byte may have left, whatever the write returns.
+    m_sent = true;
+    const auto [ec, n] = co_await Http::async_write(m_connection->socket(), request, Asio::as_tuple(Asio::use_awaitable));
+    if (ec) {
+        broken("the connection ended while the call was sent");
+        co_return false;
+    }
+    co_return true;
+}
+
+Asio::awaitable<void> TargetExchange::readAnswer(const Wanted &wanted)
+{
+    m_parser = std::make_unique<Parser>();
+    m_parser->body_limit(maxAnswerBytes);
+    const auto [ec, n] = co_await Http::async_read_header(m_connection->socket(), m_connection->buffer(), *m_parser,
+                                                          Asio::as_tuple(Asio::use_awaitable));
+    if (ec) {
+        broken("the connection ended before the answer");
+        co_return;
+    }
+    if (!headerFits(wanted)) {
+        co_return;
+    }
+    if (m_parser->get().result() != Http::status::ok) {
+        takeStatus(m_parser->get().result_int(), m_parser->get()[runHeader]);
+        co_return;
+    }
+    if (wanted.dialect.streams()) {
+        co_await readStream(wanted);
+    } else {
+        co_await readWhole(wanted);
+    }
+}
+
+bool TargetExchange::headerFits(const Wanted &wanted)
+{
+    const auto &header = m_parser->get();
+    m_result.load = LoadHeader::parse(header[LoadHeader::name]);
+    if (header[attemptHeader] == wanted.call.attemptId) {
+        return true;
+    }
+    finish(AttemptEnd::Invalid, "the answer is for another attempt");
+    return false;
+}
+
+void TargetExchange::takeStatus(unsigned status, std::string_view run)
+{
+    const std::string detail = "the target answered with status " + std::to_string(status);
+    if (run == "no") {
+        finish(AttemptEnd::Rejected, detail);
+    } else if (run == "yes") {
+        finish(AttemptEnd::Failed, detail);
+    } else {
+        finish(AttemptEnd::Invalid, detail + " and does not say whether the call was run");
+    }
+}
+
+Asio::awaitable<bool> TargetExchange::readSome(std::string &bytes)
+{
+    std::array<char, readSize> buf;
+    m_parser->get().body().data = buf.data();
+    m_parser->get().body().size = buf.size();
+    auto [ec, n] = co_await Http::async_read_some(m_connection->socket(), m_connection->buffer(), *m_parser,
+                                                  Asio::as_tuple(Asio::use_awaitable));
+    if (ec == Http::error::need_buffer) {
+        ec = {};
+    }
+    if (ec) {
+        broken("the connection ended within the answer");
+        co_return false;
+    }
+    bytes.assign(buf.data(), buf.size() - m_parser->get().body().size);
+    co_return true;
+}
+
+Asio::awaitable<void> TargetExchange::readWhole(const Wanted &wanted)
+{
+    std::string body;
+    std::string bytes;
+    while (!m_parser->is_done()) {
+        if (!co_await readSome(bytes)) {
+            co_return;
+        }
+        body += bytes;
+    }
+    Reason reason;
+    std::optional<boost::json::object> output = wanted.dialect.answer(body, reason);
+    if (!output) {
+        finish(AttemptEnd::Invalid, reason.text);
+        co_return;
+    }
+    m_result.output = std::move(*output);
+    finish(AttemptEnd::Answered, {});
+}
+
+Asio::awaitable<void> TargetExchange::readStream(const Wanted &wanted)
+{
+    SseReader reader;
+    std::string bytes;
+    bool ended = false;
+    while (!m_parser->is_done()) {
+        if (!co_await readSome(bytes)) {
+            co_return;
+        }
+        bool good = true;
+        std::vector<Part> parts;
+        const std::vector<std::string> events = reader.feed(bytes, good);
+        if (!good || !takeEvents(wanted, events, parts, ended)) {
+            finish(AttemptEnd::Invalid, good ? m_result.detail : "an event of the target's stream is too long");
+            co_return;
+        }
+        if (!parts.empty() && co_await m_sink->take(std::move(parts)) == PartSink::Next::Stop) {
+            finish(m_cancellation.cause() ? AttemptEnd::Cancelled : AttemptEnd::Invalid, "the stream does not fit what came before");
+            co_return;
+        }
+    }
+    if (!ended) {
+        finish(AttemptEnd::Lost, "the stream ended without its total");
+        co_return;
+    }
+    finish(AttemptEnd::Answered, {});
+}
+
+bool TargetExchange::takeEvents(const Wanted &wanted, const std::vector<std::string> &events, std::vector<Part> &parts, bool &ended)
+{
+    for (const std::string &it : events) {
+        if (ended) {
+            return true;
+        }
+        Reason reason;
+        std::optional<StreamEvent> event = wanted.dialect.event(it, reason);
+        if (!event || event->kind == StreamEvent::Kind::Failure) {
+            m_result.detail = event ? event->text : reason.text;
+            return false;
+        }
+        if (event->attemptId != wanted.call.attemptId) {
+            m_result.detail = "an event of the stream is for another attempt";
+            return false;
+        }
+        if (event->kind == StreamEvent::Kind::End) {
+            ended = true;
+            m_result.tokensIn = event->promptTokens;
+            m_result.tokensOut = event->position - std::min(event->position, wanted.call.position);
+            m_result.output["tokens"] = event->position;
+        } else {
+            parts.push_back({event->position, std::move(event->text)});
+        }
+    }
+    return true;
+}
+
+void TargetExchange::broken(std::string detail)
+{
+    if (m_cancellation.cause()) {
+        m_result.cause = m_cancellation.cause();
+        finish(m_sent ? AttemptEnd::Cancelled : AttemptEnd::Withdrawn, std::move(detail));
+    } else if (m_timer != nullptr && m_timer->expired()) {
+        m_result.cause = RefusalCause::DeadlineUnreachable;
+        finish(m_sent ? AttemptEnd::TimedOut : AttemptEnd::Withdrawn, "the stage deadline passed");
+    } else {
+        finish(m_sent ? AttemptEnd::Lost : AttemptEnd::NotSent, std::move(detail));
+    }
+}
+
+void TargetExchange::finish(AttemptEnd end, std::string detail)
+{
+    m_result.end = end;
+    m_result.detail = std::move(detail);
+}
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Targets/TargetProbe.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "Decisions/LoadReport.h"
+#include "Kernel/Clock.h"
+#include "Settings/Endpoint.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <optional>
+
+namespace Guavalock
+{
+
+/// Asks a target for its load report, on a connection of its own.
+class TargetProbe
+{
+public:
+    static constexpr std::chrono::milliseconds timeout{1'000};
+
+    /// Returns the report, or nothing when the target did not answer with one within the timeout. Runs on the given strand.
+    static boost::asio::awaitable<std::optional<LoadReport>> ask(boost::asio::any_io_executor strand, Endpoint endpoint);
+};
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Tool/Tool.cpp
@@ -0,0 +1,390 @@
+#include "Tool/Tool.h"
+
+#include "Kernel/Registry.h"
+#include "Reports/Report.h"
+#include "Settings/ConfigurationDocument.h"
+#include "Settings/SettingsFile.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <map>
+#include <sstream>
+
+namespace Guavalock
+{
+
+namespace
+{
+
+constexpr int exitUsage = 2;
+constexpr int exitSettings = 5;
+constexpr std::size_t columnGap = 2;
+
+std::string cellText(const boost::json::value &value)
+{
+    return value.is_string() ? std::string(value.get_string()) : boost::json::serialize(value);
+}
+
+/// Prints rows under their column names, each column as wide as its widest cell.
+void printTable(const boost::json::array &rows, std::initializer_list<const char *> columns)
+{
+    std::vector<std::vector<std::string>> cells(1);
+    for (const char *it : columns) {
+        cells.front().emplace_back(it);
+    }
+    for (const boost::json::value &row : rows) {
+        std::vector<std::string> line;
+        for (const char *it : columns) {
+            line.push_back(cellText(row.as_object().at(it)));
+        }
+        cells.push_back(std::move(line));
+    }
+    std::vector<std::size_t> widths(columns.size(), 0);
+    for (const std::vector<std::string> &line : cells) {
+        for (std::size_t it = 0; it < line.size(); ++it) {
+            widths[it] = std::max(widths[it], line[it].size() + columnGap);
+        }
+    }
+    for (const std::vector<std::string> &line : cells) {
+        for (std::size_t it = 0; it < line.size(); ++it) {
+            std::cout << line[it] << std::string(it + 1 < line.size() ? widths[it] - line[it].size() : 0, ' ');
+        }
+        std::cout << '\n';
+    }
+}
+
+} // namespace
+
+Tool::Tool(Options options)
+    : m_options(std::move(options))
+{
+}
+
+std::span<const Tool::Command> Tool::commands()
+{
+    static const std::array table = {
+        Command{"check", "FILE...", "check settings files without a daemon", 1, &Tool::check},
+        Command{"plugins", "", "list the plug-ins that are built in", 0, &Tool::plugins},
+        Command{"codes", "", "list the result codes, as the table in docs/RESULT-CODES.md", 0, &Tool::codes},
+        Command{"status", "", "show the state of each daemon", 0, &Tool::status},
+        Command{"targets", "", "show the targets of a daemon's data centre", 0, &Tool::targets},
+        Command{"members", "", "show the other daemons as one daemon hears of them", 0, &Tool::members},
+        Command{"report", "NAME", "show a report over all daemons: burn or cost", 1, &Tool::report},
+        Command{"config get", "[PATH]", "show documents of the configuration tree", 0, &Tool::configGet},
+        Command{"config put", "PATH FILE", "change one document", 2, &Tool::configPut},
+        Command{"config delete", "PATH", "remove one document", 1, &Tool::configDelete},
+        Command{"config load", "FILE", "change every document that a file holds", 1, &Tool::configLoad},
+        Command{"dc out", "NAME", "take a data centre out of service", 1, &Tool::centreOut},
+        Command{"dc in", "NAME", "bring a data centre back", 1, &Tool::centreIn},
+        Command{"target out", "NAME", "give a target no new work", 1, &Tool::targetOut},
+        Command{"target in", "NAME", "give a target work again", 1, &Tool::targetIn},
+    };
+    return table;
+}
+
+std::string Tool::help()
+{
+    std::string text = "usage: guavalock [flags] COMMAND [arguments]\n\n";
+    for (const Command &it : commands()) {
+        std::string line = "  " + std::string(it.name) + " " + std::string(it.arguments);
+        line.resize(std::max<std::size_t>(line.size() + 1, 28), ' ');
+        text += line + std::string(it.summary) + "\n";
+    }
+    return text + "\nexample: guavalock --daemons 127.0.0.1:8101 report burn\n";
+}
+
+int Tool::run(const std::vector<std::string> &words)
+{
+    for (const Command &it : commands()) {
+        std::vector<std::string> name;
+        std::istringstream in{std::string(it.name)};
+        std::copy(std::istream_iterator<std::string>(in), {}, std::back_inserter(name));
+        const bool matches = words.size() >= name.size() && std::equal(name.begin(), name.end(), words.begin());
+        if (!matches) {
+            continue;
+        }
+        const Words rest = Words(words).subspan(name.size());
+        if (rest.size() < it.fewest) {
+            std::cerr << "usage: guavalock " << it.name << ' ' << it.arguments << '\n';
+            return exitUsage;
+        }
+        return (this->*it.run)(rest);
+    }
+    std::cerr << help();
+    return exitUsage;
+}
+
+int Tool::fail(const Reason &reason) const
+{
+    std::cerr << "guavalock: " << reason.text << '\n';
+    return static_cast<int>(resultNumber(reason.code) / 100);
+}
+
+std::vector<AdministrationClient> Tool::allDaemons(Reason &reason) const
+{
+    std::vector<AdministrationClient> clients;
+    for (const std::string &it : m_options.daemons) {
+        const std::optional<Endpoint> endpoint = Endpoint::parse(it);
+        if (!endpoint) {
+            reason = {ResultCode::SettingsInvalid, "'" + it + "' in --daemons is not an IP number and a port, as in 127.0.0.1:8101"};
+            return {};
+        }
+        clients.emplace_back(*endpoint);
+    }
+    if (clients.empty()) {
+        reason = {ResultCode::SettingsInvalid, "name the administration addresses of the daemons with --daemons"};
+    }
+    return clients;
+}
+
+std::optional<AdministrationClient> Tool::firstDaemon(Reason &reason) const
+{
+    const std::vector<AdministrationClient> clients = allDaemons(reason);
+    if (clients.empty()) {
+        return std::nullopt;
+    }
+    return clients.front();
+}
+
+int Tool::check(Words words)
+{
+    bool good = true;
+    for (const std::string &it : words) {
+        SettingsErrors errors;
+        const std::optional<SettingsFile> file = SettingsFile::load(it, errors);
+        if (file) {
+            file->check(errors);
+        }
+        for (const SettingsError &error : errors) {
+            std::cout << error.text() << '\n';
+        }
+        good = good && errors.empty();
+    }
+    return good ? 0 : exitSettings;
+}
+
+int Tool::plugins(Words)
+{
+    boost::json::array rows;
+    for (const PluginCatalogue::Entry &it : PluginCatalogue::instance().entries()) {
+        rows.push_back(boost::json::object{{"kind", it.kind}, {"name", it.name}, {"summary", it.summary}});
+    }
+    printTable(rows, {"kind", "name", "summary"});
+    return 0;
+}
+
+int Tool::codes(Words)
+{
+    std::cout << "| code | name | HTTP | meaning |\n| --- | --- | --- | --- |\n";
+    for (const ResultCodeInfo &it : resultCodes()) {
+        std::cout << "| " << resultNumber(it.code) << " | " << it.name << " | " << it.httpStatus << " | " << it.meaning << " |\n";
+    }
+    return 0;
+}
+
+int Tool::status(Words)
+{
+    Reason reason;
+    const std::vector<AdministrationClient> clients = allDaemons(reason);
+    if (clients.empty()) {
+        return fail(reason);
+    }
+    boost::json::array rows;
+    for (const AdministrationClient &it : clients) {
+        const std::optional<boost::json::value> answer = it.get("status", reason);
+        if (!answer) {
+            fail(reason);
+            continue;
+        }
+        rows.push_back(*answer);
+    }
+    if (m_options.json) {
+        std::cout << boost::json::serialize(rows) << '\n';
+    } else {
+        printTable(rows, {"vm", "data_centre", "draining", "requests_in_progress", "configuration_next", "log_age_ms"});
+    }
+    return rows.size() == clients.size() ? 0 : static_cast<int>(resultNumber(reason.code) / 100);
+}
+
+int Tool::showRows(const std::string &resource, std::initializer_list<const char *> columns)
+{
+    Reason reason;
+    const std::optional<AdministrationClient> client = firstDaemon(reason);
+    const std::optional<boost::json::value> answer = client ? client->get(resource, reason) : std::nullopt;
+    if (!answer) {
+        return fail(reason);
+    }
+    if (m_options.json) {
+        std::cout << boost::json::serialize(*answer) << '\n';
+    } else {
+        printTable(answer->as_array(), columns);
+    }
+    return 0;
+}
+
+int Tool::targets(Words)
+{
+    return showRows("targets", {"target", "pool", "data_centre", "state", "in_service", "outstanding", "limit", "mean_ms"});
+}
+
+int Tool::members(Words)
+{
+    return showRows("members", {"vm", "data_centre", "state", "configuration_next"});
+}
+
+int Tool::report(Words words)
+{
+    const std::unique_ptr<Report> report = Registry<Report>::instance().create(words.front());
+    if (!report) {
+        return fail({ResultCode::UnknownPlugin, "no report is called '" + words.front() + "'; see 'guavalock plugins'"});
+    }
+    Reason reason;
+    const std::vector<AdministrationClient> clients = allDaemons(reason);
+    if (clients.empty()) {
+        return fail(reason);
+    }
+    std::vector<boost::json::object> parts;
+    for (const AdministrationClient &it : clients) {
+        const std::optional<boost::json::value> answer = it.get("reports/" + words.front(), reason);
+        if (answer && answer->is_object()) {
+            parts.push_back(answer->get_object());
+        } else {
+            fail(reason);
+        }
+    }
+    if (m_options.json) {
+        std::cout << boost::json::serialize(boost::json::array(parts.begin(), parts.end())) << '\n';
+    } else {
+        std::cout << report->text(parts, clients.size());
+    }
+    return parts.size() == clients.size() ? 0 : static_cast<int>(resultNumber(reason.code) / 100);
+}
+
+int Tool::configGet(Words words)
+{
+    Reason reason;
+    const std::string path = words.empty() ? "" : "/" + words.front();
+    const std::optional<AdministrationClient> client = firstDaemon(reason);
+    const std::optional<boost::json::value> answer = client ? client->get("configuration" + path, reason) : std::nullopt;
+    if (!answer) {
+        return fail(reason);
+    }
+    if (m_options.json) {
+        std::cout << boost::json::serialize(*answer) << '\n';
+        return 0;
+    }
+    for (const auto &it : answer->as_object().at("documents").as_object()) {
+        std::cout << it.key() << ":\n" << cellText(it.value()) << "\n\n";
+    }
+    return 0;
+}
+
+std::optional<std::uint64_t> Tool::version(const std::string &path, Reason &reason)
+{
+    const std::optional<AdministrationClient> client = firstDaemon(reason);
+    const std::optional<boost::json::value> answer = client ? client->get("configuration/" + path, reason) : std::nullopt;
+    if (!answer) {
+        return std::nullopt;
+    }
+    return answer->as_object().at("version").to_number<std::uint64_t>();
+}
+
+int Tool::putDocument(const std::string &path, const std::string &text)
+{
+    Reason reason;
+    const std::optional<std::uint64_t> expected = version(path, reason);
+    const std::optional<AdministrationClient> client = firstDaemon(reason);
+    if (!expected || !client) {
+        return fail(reason);
+    }
+    const AdministrationClient::Headers headers{{"X-Expected-Version", std::to_string(*expected)}, {"X-Author", m_options.author}};
+    const std::optional<boost::json::value> answer = client->put("configuration/" + path, text, headers, reason);
+    if (!answer) {
+        return fail(reason);
+    }
+    std::cout << path << " is in force; " << ConfigurationDocument::subtree(path) << " is at version "
+              << answer->as_object().at("version").to_number<std::uint64_t>() << '\n';
+    return 0;
+}
+
+int Tool::configPut(Words words)
+{
+    std::ifstream in(words[1]);
+    if (!in) {
+        return fail({ResultCode::SettingsInvalid, "'" + words[1] + "' cannot be read; check the path"});
+    }
+    std::ostringstream text;
+    text << in.rdbuf();
+    return putDocument(words[0], text.str());
+}
+
+int Tool::configDelete(Words words)
+{
+    Reason reason;
+    const std::optional<std::uint64_t> expected = version(words.front(), reason);
+    const std::optional<AdministrationClient> client = firstDaemon(reason);
+    if (!expected || !client) {
+        return fail(reason);
+    }
+    const AdministrationClient::Headers headers{{"X-Expected-Version", std::to_string(*expected)}, {"X-Author", m_options.author}};
+    const std::optional<boost::json::value> answer = client->remove("configuration/" + words.front(), headers, reason);
+    if (!answer) {
+        return fail(reason);
+    }
+    std::cout << words.front() << " is removed\n";
+    return 0;
+}
+
+int Tool::configLoad(Words words)
+{
+    SettingsErrors errors;
+    const std::optional<SettingsFile> file = SettingsFile::load(words.front(), errors);
+    const std::map<std::string, std::string> documents = file ? file->documents(errors) : std::map<std::string, std::string>();
+    for (const SettingsError &it : errors) {
+        std::cerr << it.text() << '\n';
+    }
+    if (!errors.empty()) {
+        return exitSettings;
+    }
+    for (const auto &[path, text] : documents) {
+        const int status = putDocument(path, text);
+        if (status != 0) {
+            return status;
+        }
+    }
+    return 0;
+}
+
+int Tool::putService(const std::string &path, const char *service)
+{
+    return putDocument(path, std::string("service: ") + service + "\n");
+}
+
+int Tool::centreOut(Words words)
+{
+    return putService("data-centres/" + words.front(), "out");
+}
+
+int Tool::centreIn(Words words)
+{
+    return putService("data-centres/" + words.front(), "in");
+}
+
+int Tool::targetOut(Words words)
+{
+    return putService("targets/" + words.front(), "out");
+}
+
+int Tool::targetIn(Words words)
+{
+    return putService("targets/" + words.front(), "in");
+}
+
+} // namespace Guavalock
