Test the whole path under faults, stops, kills and outages

A load driver plays callers behind a balancer and checks every answer against what the stand-ins have to give. After every load the tests check that no answer is wrong, each booking key ran at most once, every refusal that says 'run: no' is true, and no cold target bore more than its limit.

Found by the tests, each with its check: - Stages without any target were refused at once while their only targets restarted for 300 ms; they are now held up to 1.5 s for one to return.

--- a/Fakes/FakePlatform.cpp
+++ b/Fakes/FakePlatform.cpp
@@ -1,5 +1,8 @@
 #include "FakePlatform.h"
 
+#include "Platform/LogRecords.h"
+#include "Settings/ConfigurationDocument.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -60,16 +63,14 @@
 
 std::size_t FakePlatform::recordCount(const std::string &stream)
 {
-    return stream == "keys" ? m_keyRecords : m_configurationRecords;
+    return stream == LogRecords::keyStream ? m_keyRecords : m_configurationRecords;
 }
 
-FakePlatform::Stream &FakePlatform::stream(const std::string &name)
+void FakePlatform::wake(Stream &stream)
 {
-    Stream &stream = m_streams[name];
-    if (!stream.changed) {
-        stream.changed = std::make_shared<Asio::steady_timer>(m_strand);
+    for (Asio::steady_timer *it : stream.readers) {
+        it->cancel();
     }
-    return stream;
 }
 
 Asio::awaitable<bool> FakePlatform::handle(FakeServer::Socket &socket, FakeServer::Request request)
@@ -105,15 +106,14 @@
     if (!takeToken()) {
         co_return co_await FakeServer::send(socket, FakeServer::json(429, "{}"));
     }
-    Stream &log = stream(name);
+    Stream &log = m_streams[name];
     const std::uint64_t first = log.next;
     const boost::json::value request = boost::json::parse(body);
     for (const boost::json::value &it : request.as_object().at("entries").as_array()) {
         const boost::json::object &entry = it.as_object();
-        log.records.push_back({log.next++, nowMilliseconds(), std::string(entry.at("id").as_string()), std::string(entry.at("data").as_string())});
-        ++(name == "keys" ? m_keyRecords : m_configurationRecords);
+        add(name, log, std::string(entry.at("id").as_string()), std::string(entry.at("data").as_string()));
     }
-    log.changed->cancel();
+    wake(log);
     if (std::uniform_real_distribution<double>(0, 1)(m_random) < m_lostAnswers) {
         co_return false;
     }
@@ -121,6 +121,22 @@
     co_return co_await FakeServer::send(socket, FakeServer::json(200, boost::json::serialize(answer)));
 }
 
+void FakePlatform::add(const std::string &name, Stream &log, std::string id, std::string data)
+{
+    log.records.push_back({log.next++, nowMilliseconds(), std::move(id), std::move(data)});
+    ++(name == LogRecords::keyStream ? m_keyRecords : m_configurationRecords);
+}
+
+void FakePlatform::publish(const std::string &path, const std::string &text)
+{
+    Stream &log = m_streams[LogRecords::configurationStream];
+    std::uint64_t &version = m_versions[ConfigurationDocument::subtree(path)];
+    const ConfigurationRecord record{"publish." + std::to_string(log.next), path, version, text, "test"};
+    version = log.next + 1;
+    add(LogRecords::configurationStream, log, record.id, LogRecords::write(record));
+    wake(log);
+}
+
 void FakePlatform::prune(Stream &log, std::int64_t nowMs)
 {
     const std::int64_t life = std::chrono::duration_cast<std::chrono::milliseconds>(retention).count();
@@ -131,12 +147,12 @@
 
 Asio::awaitable<bool> FakePlatform::read(FakeServer::Socket &socket, const std::string &name, std::uint64_t from, std::chrono::milliseconds wait)
 {
-    Stream &log = stream(name);
+    Stream &log = m_streams[name];
     if (from >= log.next && wait.count() > 0) {
-        // Every reader waits on the same timer; an append cancels it for all.
-        log.changed->expires_after(wait);
-        const std::shared_ptr<Asio::steady_timer> changed = log.changed;
-        co_await changed->async_wait(Asio::as_tuple(Asio::use_awaitable));
+        Asio::steady_timer timer(m_strand, wait);
+        log.readers.insert(&timer);
+        co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
+        log.readers.erase(&timer);
     }
     if (m_outage) {
         co_return false;
--- a/Fakes/FakePlatform.h
+++ b/Fakes/FakePlatform.h
@@ -7,8 +7,8 @@
 #include <atomic>
 #include <deque>
 #include <map>
-#include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,6 +23,9 @@
 
     void start();
 
+    /// Appends a configuration document as an operator's accepted change. Call before start, or on the strand.
+    void publish(const std::string &path, const std::string &text);
+
     /// During an outage every call is dropped without an answer. Callable from any thread.
     void setOutage(bool outage);
 
@@ -42,19 +45,21 @@
     struct Stream {
         std::deque<Record> records;
         std::uint64_t next = 0;
-        std::shared_ptr<boost::asio::steady_timer> changed; ///< Cancelled to wake readers.
+        std::set<boost::asio::steady_timer *> readers; ///< Cancelled to wake those that wait for a record.
     };
 
     boost::asio::awaitable<bool> handle(FakeServer::Socket &socket, FakeServer::Request request);
     boost::asio::awaitable<bool> append(FakeServer::Socket &socket, const std::string &name, const std::string &body);
     boost::asio::awaitable<bool> read(FakeServer::Socket &socket, const std::string &name, std::uint64_t from, std::chrono::milliseconds wait);
     bool takeToken();
+    void add(const std::string &name, Stream &log, std::string id, std::string data);
     void prune(Stream &stream, std::int64_t nowMs);
-    Stream &stream(const std::string &name);
+    static void wake(Stream &stream);
 
     boost::asio::any_io_executor m_strand;
     FakeServer m_server;
     std::map<std::string, Stream> m_streams;
+    std::map<std::string, std::uint64_t> m_versions; ///< Of the subtrees that publish has changed.
     std::atomic<bool> m_outage{false};
     std::atomic<double> m_lostAnswers{0};
     std::mt19937_64 m_random{7};
--- a/Fakes/FakeTarget.cpp
+++ b/Fakes/FakeTarget.cpp
@@ -153,14 +153,14 @@
         kill(restartTime);
         co_return false;
     }
-    noteStart(request);
+    noteStart();
     const bool keep = co_await serveCall(socket, std::move(request));
     --m_running;
     m_coldCallsLeft -= m_coldCallsLeft > 0 ? 1 : 0;
     co_return keep;
 }
 
-void FakeTarget::noteStart(const Request &request)
+void FakeTarget::noteStart()
 {
     ++m_running;
     const std::scoped_lock lock(m_mutex);
@@ -169,6 +169,12 @@
     if (m_coldCallsLeft > 0 && m_running > m_settings.coldLimit) {
         ++m_counts.coldExceeded;
     }
+}
+
+void FakeTarget::noteRun(const Request &request)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_counts.requestsRun.emplace(request["X-Request-Id"]);
     const std::string key(request["Idempotency-Key"]);
     if (!key.empty()) {
         ++m_counts.runsByKey[key];
@@ -202,6 +208,7 @@
         response.set("X-Run", "no");
         co_return co_await FakeServer::send(socket, std::move(response));
     }
+    noteRun(request);
     co_await sleep(m_settings.callTime * (chance(m_settings.faults.slow) ? slowFactor : 1));
     if (m_dead || FakeServer::closed(socket)) {
         const std::scoped_lock lock(m_mutex);
--- a/Fakes/FakeTarget.h
+++ b/Fakes/FakeTarget.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <mutex>
 #include <random>
+#include <set>
 #include <string>
 
 namespace Guavalock
@@ -28,6 +29,7 @@
         std::size_t coldExceeded = 0; ///< Calls beyond the limit that it bears while cold.
         std::size_t mostRunning = 0;
         std::map<std::string, std::size_t> runsByKey;
+        std::set<std::string> requestsRun; ///< By request id, those of which any call was run.
     };
 
     FakeTarget(const boost::asio::any_io_executor &executor, FakeTargetSettings settings);
@@ -63,7 +65,8 @@
     LoadReport report() const;
     bool chance(double share);
     void newIncarnation();
-    void noteStart(const Request &request);
+    void noteStart();
+    void noteRun(const Request &request);
 
     boost::asio::any_io_executor m_strand;
     FakeTargetSettings m_settings;
--- a/Source/FrontEnds/AdministrationFrontEnd.cpp
+++ b/Source/FrontEnds/AdministrationFrontEnd.cpp
@@ -152,8 +152,11 @@
     {
         boost::json::array rows;
         for (const MemberTable::Row &it : m_context.members.rows(m_context.services.clock.now())) {
-            rows.push_back(boost::json::object{
-                {"vm", it.vm}, {"data_centre", it.dataCentre}, {"state", it.state}, {"configuration_next", it.configurationNext}});
+            rows.push_back(boost::json::object{{"vm", it.vm},
+                                               {"data_centre", it.dataCentre},
+                                               {"state", it.state},
+                                               {"configuration_next", it.configurationNext},
+                                               {"pools", it.pools}});
         }
         co_await sendJson(exchange, rows);
     }
--- a/Source/FrontEnds/EventStream.cpp
+++ b/Source/FrontEnds/EventStream.cpp
@@ -35,9 +35,19 @@
 {
 }
 
+Asio::awaitable<bool> EventStream::begin()
+{
+    bool begun = m_exchange.streaming();
+    if (!begun) {
+        begun = co_await m_exchange.startEvents();
+    }
+    co_return begun;
+}
+
 Asio::awaitable<PartSink::Next> EventStream::take(std::vector<Part> parts)
 {
-    if (!m_exchange.streaming() && !co_await m_exchange.startEvents()) {
+    const bool begun = co_await begin();
+    if (!begun) {
         co_return Next::Stop;
     }
     std::string bytes;
@@ -48,16 +58,23 @@
     co_return sent ? Next::Go : Next::Stop;
 }
 
-Asio::awaitable<void> EventStream::end(boost::json::object output, std::string requestId)
+Asio::awaitable<void> EventStream::finish(std::string bytes)
 {
-    if (!m_exchange.streaming() && !co_await m_exchange.startEvents()) {
-        co_return;
+    const bool sent = co_await m_exchange.sendEvents(std::move(bytes));
+    if (sent) {
+        co_await m_exchange.endEvents();
     }
+}
+
+Asio::awaitable<void> EventStream::end(boost::json::object output, std::string requestId)
+{
     // The caller has the text already, token by token.
     output.erase("text");
     output["request_id"] = requestId;
-    if (co_await m_exchange.sendEvents(event("end", output))) {
-        co_await m_exchange.endEvents();
+    std::string bytes = event("end", output);
+    const bool begun = co_await begin();
+    if (begun) {
+        co_await finish(std::move(bytes));
     }
 }
 
@@ -67,9 +84,8 @@
         co_await m_exchange.refuse(std::move(refusal), std::move(requestId));
         co_return;
     }
-    if (co_await m_exchange.sendEvents(event("refusal", RefusalJson::of(refusal, requestId)))) {
-        co_await m_exchange.endEvents();
-    }
+    std::string bytes = event("refusal", RefusalJson::of(refusal, requestId));
+    co_await finish(std::move(bytes));
 }
 
 } // namespace Guavalock
--- a/Source/FrontEnds/EventStream.h
+++ b/Source/FrontEnds/EventStream.h
@@ -29,6 +29,9 @@
     boost::asio::awaitable<void> refuse(Refusal refusal, std::string requestId);
 
 private:
+    boost::asio::awaitable<bool> begin();
+    boost::asio::awaitable<void> finish(std::string bytes);
+
     HttpExchange &m_exchange;
 };
 
--- a/Source/Pipeline/StageRunner.cpp
+++ b/Source/Pipeline/StageRunner.cpp
@@ -6,6 +6,7 @@
 #include "Decisions/RetryDecision.h"
 #include "Flow/AttemptRoute.h"
 #include "Flow/Cancellation.h"
+#include "Flow/OneShot.h"
 #include "Flow/StageCall.h"
 #include "Kernel/Counter.h"
 #include "Kernel/Metrics.h"
@@ -36,11 +37,21 @@
     return stages;
 }
 
+constexpr std::chrono::milliseconds holdTime{1'500}; ///< How long a stage without any target is held for one to come back.
+constexpr std::chrono::milliseconds holdInterval{50};
+
 bool targetWasTried(const AttemptResult &result)
 {
     return !result.target.empty() || result.end != AttemptEnd::NotSent;
 }
 
+/// Returns whether a stage found no target that could be asked, while one may come back.
+bool worthHolding(const AttemptResult &result)
+{
+    const bool absent = result.cause == RefusalCause::NoTarget || result.cause == RefusalCause::PeerUnreachable;
+    return !targetWasTried(result) && absent;
+}
+
 } // namespace
 
 StageRunner::StageRunner(const Services &services, std::vector<AttemptRoute *> routes, DeathNotice notice)
@@ -93,12 +104,17 @@
         co_return Refusal::of(reason.code, state.run.state(), reason.text);
     }
     GenerationSink sink(caller);
+    const Clock::TimePoint holdUntil = std::min(m_services.clock.now() + holdTime, call->demand.deadline);
     for (std::size_t attempts = 1;; ++attempts) {
         call->attemptId = state.request.id + "." + std::to_string(index) + "." + std::to_string(attempts);
         call->demand.suspect = m_services.poison.standing(state.fingerprint, m_services.clock.now()) == PoisonTable::Standing::Suspect;
         call->position = sink.progress().position();
         call->textSoFar = sink.progress().text();
         AttemptResult result = co_await attempt(*call, sink, cancellation);
+        while (worthHolding(result) && m_services.clock.now() + holdInterval < holdUntil && !cancellation.cause()) {
+            co_await pause(cancellation);
+            result = co_await attempt(*call, sink, cancellation);
+        }
         if (result.end == AttemptEnd::Answered && !complete(stage, result, sink)) {
             result.end = AttemptEnd::Invalid;
         }
@@ -136,6 +152,13 @@
     co_return result;
 }
 
+Asio::awaitable<void> StageRunner::pause(Cancellation &cancellation) const
+{
+    m_services.metrics.counter("stage_holds_total").add();
+    const auto never = std::make_shared<OneShot<bool>>(cancellation.strand());
+    co_await never->wait(m_services.clock.now() + holdInterval, cancellation);
+}
+
 bool StageRunner::complete(const Stage &stage, AttemptResult &result, const GenerationSink &sink) const
 {
     if (!stage.streams()) {
--- a/Source/Pipeline/StageRunner.h
+++ b/Source/Pipeline/StageRunner.h
@@ -43,6 +43,7 @@
     boost::asio::awaitable<AttemptResult> attempt(const StageCall &call, PartSink &sink, Cancellation &cancellation);
     std::optional<StageCall> prepare(const RequestState &state, std::size_t index, Reason &reason) const;
     void charge(const RequestState &state, const StageSettings &stage, const AttemptResult &result) const;
+    boost::asio::awaitable<void> pause(Cancellation &cancellation) const;
     bool complete(const Stage &stage, AttemptResult &result, const GenerationSink &sink) const;
     std::optional<Refusal> afterFailure(RequestState &state, const StageSettings &stage, const StageCall &call, const AttemptResult &result,
                                         std::size_t attempts) const;
--- a/Source/Settings/FieldTable.h
+++ b/Source/Settings/FieldTable.h
@@ -24,6 +24,13 @@
         return add(name, member, expected, true, std::move(check));
     }
 
+    /// Adds a field that must be present and whose value stands in no error.
+    template<class Value>
+    FieldTable &secret(const std::string &name, Value Struct::*member, const std::string &expected, SettingsCheck<Value> check)
+    {
+        return add(name, member, expected, true, std::move(check), Shown::No);
+    }
+
     /// Adds a field that keeps its default when absent.
     template<class Value>
     FieldTable &optional(const std::string &name, Value Struct::*member, SettingsCheck<Value> check = {})
@@ -46,6 +53,11 @@
     }
 
 private:
+    enum class Shown {
+        Yes,
+        No,
+    };
+
     struct Field {
         std::string name;
         std::string expected;
@@ -54,14 +66,15 @@
     };
 
     template<class Value>
-    FieldTable &add(const std::string &name, Value Struct::*member, const std::string &expected, bool required, SettingsCheck<Value> check)
+    FieldTable &add(const std::string &name, Value Struct::*member, const std::string &expected, bool required, SettingsCheck<Value> check,
+                    Shown shown = Shown::Yes)
     {
-        auto read = [member, check = std::move(check)](const SettingsNode &node, Struct &value, SettingsErrors &errors) {
+        auto read = [member, shown, check = std::move(check)](const SettingsNode &node, Struct &value, SettingsErrors &errors) {
             if (!readSetting(node, value.*member, errors) || !check) {
                 return;
             }
             if (const std::optional<std::string> wanted = check(value.*member)) {
-                errors.push_back(node.error(*wanted));
+                errors.push_back(shown == Shown::Yes ? node.error(*wanted) : node.hiddenError(*wanted));
             }
         };
         m_fields.push_back({name, expected, required, std::move(read)});
--- a/Source/Settings/ProcessSettings.cpp
+++ b/Source/Settings/ProcessSettings.cpp
@@ -48,7 +48,7 @@
         it.required("callers", &ProcessSettings::callers, "the IP number and port for callers");
         it.required("administration", &ProcessSettings::administration, "the IP number and port for administration");
         it.required("peer_listen", &ProcessSettings::peerListen, "the IP number and port for peers");
-        it.required("peer_key", &ProcessSettings::peerKey, secretForm, secret());
+        it.secret("peer_key", &ProcessSettings::peerKey, secretForm, secret());
         it.optional("accepted_peer_keys", &ProcessSettings::acceptedPeerKeys, secrets());
         it.optional("peers", &ProcessSettings::peers);
         it.optional("platform_plugin", &ProcessSettings::platformPlugin, pluginOf("platform"));
--- a/Source/Settings/SettingsNode.cpp
+++ b/Source/Settings/SettingsNode.cpp
@@ -69,6 +69,13 @@
     return {m_file, line(), m_path.empty() ? "(document)" : m_path, found(), expected};
 }
 
+SettingsError SettingsNode::hiddenError(const std::string &expected) const
+{
+    SettingsError hidden = error(expected);
+    hidden.found = "a value that is not shown";
+    return hidden;
+}
+
 SettingsError SettingsNode::missing(const std::string &key, const std::string &expected) const
 {
     return {m_file, line(), joined(m_path, key), "nothing", expected};
--- a/Source/Settings/SettingsNode.h
+++ b/Source/Settings/SettingsNode.h
@@ -29,6 +29,9 @@
     std::string found() const;
 
     SettingsError error(const std::string &expected) const;
+
+    /// As error, for a value that must not be shown.
+    SettingsError hiddenError(const std::string &expected) const;
     SettingsError missing(const std::string &key, const std::string &expected) const;
     SettingsError unknownKey(const std::string &key, const YAML::Node &keyNode, const std::string &expected) const;
 
--- a/Source/Tables/MemberTable.cpp
+++ b/Source/Tables/MemberTable.cpp
@@ -73,7 +73,7 @@
     std::vector<Row> rows;
     const std::scoped_lock lock(m_mutex);
     for (const auto &[vm, member] : m_members) {
-        rows.push_back({vm, member.dataCentre, stateName(member, now), member.configurationNext});
+        rows.push_back({vm, member.dataCentre, stateName(member, now), member.configurationNext, member.pools.size()});
     }
     return rows;
 }
--- a/Source/Tables/MemberTable.h
+++ b/Source/Tables/MemberTable.h
@@ -31,6 +31,7 @@
         std::string dataCentre;
         std::string state; ///< `live`, `draining`, `silent` or `unconnected`.
         std::uint64_t configurationNext = 0;
+        std::size_t pools = 0; ///< With a target that may be given work.
     };
 
     /// Adds a member that the settings name.
--- a/Source/Tool/Tool.cpp
+++ b/Source/Tool/Tool.cpp
@@ -236,7 +236,7 @@
 
 int Tool::members(Words)
 {
-    return showRows("members", {"vm", "data_centre", "state", "configuration_next"});
+    return showRows("members", {"vm", "data_centre", "state", "configuration_next", "pools"});
 }
 
 int Tool::report(Words words)
--- /dev/null
+++ b/Tests/Decisions/RetryTest.cpp
@@ -0,0 +1,123 @@
+#include "Decisions/Backoff.h"
+#include "Decisions/RefusalTable.h"
+#include "Decisions/RetryBudget.h"
+#include "Decisions/RetryDecision.h"
+#include "Decisions/RunTracker.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+
+namespace Guavalock
+{
+
+class RetryTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RetryTest);
+    CPPUNIT_TEST(nothingSentIsAlwaysRepeated);
+    CPPUNIT_TEST(whatMayHaveRunIsRepeatedOnlyIfIdempotent);
+    CPPUNIT_TEST(attemptsAndBudgetBoundRetries);
+    CPPUNIT_TEST(budgetOfAFailingPoolRunsOut);
+    CPPUNIT_TEST(runStateIsUnknownOnceAnAnswerIsLost);
+    CPPUNIT_TEST(notRunCodesNeedProof);
+    CPPUNIT_TEST(backoffGrowsWithinBounds);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::array allEnds = {AttemptEnd::Answered, AttemptEnd::Withdrawn, AttemptEnd::NotSent,  AttemptEnd::Rejected, AttemptEnd::Failed,
+                                           AttemptEnd::Invalid,  AttemptEnd::Lost,      AttemptEnd::TimedOut, AttemptEnd::Cancelled};
+
+    static bool mayHaveRun(AttemptEnd end)
+    {
+        return end != AttemptEnd::NotSent && end != AttemptEnd::Withdrawn && end != AttemptEnd::Rejected;
+    }
+
+public:
+    void nothingSentIsAlwaysRepeated()
+    {
+        CPPUNIT_ASSERT(RetryDecision::decide({AttemptEnd::NotSent, false, 1, 3, true}).retry);
+        CPPUNIT_ASSERT(RetryDecision::decide({AttemptEnd::Rejected, false, 1, 3, true}).retry);
+        CPPUNIT_ASSERT(RetryDecision::decide({AttemptEnd::NotSent, true, 1, 3, false}).retry);
+    }
+
+    void whatMayHaveRunIsRepeatedOnlyIfIdempotent()
+    {
+        for (const AttemptEnd it : allEnds) {
+            if (mayHaveRun(it)) {
+                CPPUNIT_ASSERT(!RetryDecision::decide({it, false, 1, 3, true}).retry);
+            }
+        }
+        CPPUNIT_ASSERT(RetryDecision::decide({AttemptEnd::Lost, true, 1, 3, true}).retry);
+        CPPUNIT_ASSERT(!RetryDecision::decide({AttemptEnd::Cancelled, true, 1, 3, true}).retry);
+    }
+
+    void attemptsAndBudgetBoundRetries()
+    {
+        CPPUNIT_ASSERT(!RetryDecision::decide({AttemptEnd::NotSent, true, 3, 3, true}).retry);
+        CPPUNIT_ASSERT(!RetryDecision::decide({AttemptEnd::Lost, true, 1, 3, false}).retry);
+    }
+
+    void budgetOfAFailingPoolRunsOut()
+    {
+        RetryBudget budget;
+        std::size_t retries = 0;
+        for (std::size_t it = 0; it < 1'000; ++it) {
+            if (budget.available()) {
+                budget.spend();
+                ++retries;
+            }
+        }
+        CPPUNIT_ASSERT(retries < 100);
+        for (std::size_t it = 0; it < 10; ++it) {
+            budget.succeeded();
+        }
+        CPPUNIT_ASSERT(budget.available());
+    }
+
+    void runStateIsUnknownOnceAnAnswerIsLost()
+    {
+        RunTracker tracker;
+        CPPUNIT_ASSERT(tracker.state() == RunState::No);
+        tracker.ended(AttemptEnd::NotSent);
+        tracker.ended(AttemptEnd::Rejected);
+        CPPUNIT_ASSERT(tracker.state() == RunState::No);
+        tracker.ended(AttemptEnd::Failed);
+        CPPUNIT_ASSERT(tracker.state() == RunState::Yes);
+        tracker.ended(AttemptEnd::TimedOut);
+        tracker.ended(AttemptEnd::Answered);
+        CPPUNIT_ASSERT(tracker.state() == RunState::Unknown);
+    }
+
+    void notRunCodesNeedProof()
+    {
+        for (int cause = 0; cause <= static_cast<int>(RefusalCause::PipelineMissing); ++cause) {
+            for (const RunState run : {RunState::No, RunState::Yes, RunState::Unknown}) {
+                for (const bool idempotent : {false, true}) {
+                    const Refusal refusal = RefusalTable::refusal(static_cast<RefusalCause>(cause), run, idempotent, "");
+                    const bool saysNotRun = resultNumber(refusal.code) / 100 == 2;
+                    CPPUNIT_ASSERT(!saysNotRun || run == RunState::No);
+                    CPPUNIT_ASSERT(refusal.run == run);
+                    const bool invites = refusal.retryAfter.has_value();
+                    CPPUNIT_ASSERT(!invites || run == RunState::No || idempotent);
+                }
+            }
+        }
+    }
+
+    void backoffGrowsWithinBounds()
+    {
+        using std::chrono::milliseconds;
+        RandomEngine random(1);
+        Backoff backoff(milliseconds(10), milliseconds(100));
+        milliseconds longest{0};
+        for (int it = 0; it < 20; ++it) {
+            const milliseconds wait = backoff.next(random);
+            CPPUNIT_ASSERT(wait >= milliseconds(5) && wait <= milliseconds(100));
+            longest = std::max(longest, wait);
+        }
+        CPPUNIT_ASSERT(longest > milliseconds(50));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RetryTest);
+
+} // namespace Guavalock
--- /dev/null
+++ b/Tests/Targets/DialectTest.cpp
@@ -0,0 +1,98 @@
+#include "Kernel/Registry.h"
+#include "Targets/LoadHeader.h"
+#include "Targets/SseReader.h"
+#include "Targets/StreamEvent.h"
+#include "Targets/TargetCall.h"
+#include "Targets/TargetDialect.h"
+
+#include <boost/json/parse.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Guavalock
+{
+
+class DialectTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DialectTest);
+    CPPUNIT_TEST(generationResumesFromItsPosition);
+    CPPUNIT_TEST(doneWithoutATotalIsAFailure);
+    CPPUNIT_TEST(answersWithoutTheirFieldsAreRefused);
+    CPPUNIT_TEST(eventsAreCutAtAnyByte);
+    CPPUNIT_TEST(overlongEventsAreRefused);
+    CPPUNIT_TEST(loadHeaderNeedsItsFields);
+    CPPUNIT_TEST_SUITE_END();
+
+    static std::unique_ptr<TargetDialect> dialect(const char *name)
+    {
+        return Registry<TargetDialect>::instance().create(name);
+    }
+
+public:
+    void generationResumesFromItsPosition()
+    {
+        TargetCall call;
+        call.input = {{"prompt", "p"}, {"max_tokens", 9}};
+        call.position = 3;
+        call.textSoFar = "abc";
+        const boost::json::object body = boost::json::parse(dialect("openai-generate")->body(call)).as_object();
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(3), body.at("resume").as_object().at("position").as_int64());
+        call.position = 0;
+        CPPUNIT_ASSERT(!boost::json::parse(dialect("openai-generate")->body(call)).as_object().contains("resume"));
+    }
+
+    void doneWithoutATotalIsAFailure()
+    {
+        Reason reason;
+        const std::optional<StreamEvent> event = dialect("openai-generate")->event("[DONE]", reason);
+        CPPUNIT_ASSERT(event && event->kind == StreamEvent::Kind::Failure);
+        const std::optional<StreamEvent> end
+            = dialect("openai-generate")->event(R"({"id":"x","usage":{"prompt_tokens":5,"total_position":7}})", reason);
+        CPPUNIT_ASSERT(end && end->kind == StreamEvent::Kind::End && end->position == 7 && end->promptTokens == 5);
+    }
+
+    void answersWithoutTheirFieldsAreRefused()
+    {
+        Reason reason;
+        CPPUNIT_ASSERT(!dialect("openai-embeddings")->answer(R"({"data":[]})", reason));
+        CPPUNIT_ASSERT(reason.code == ResultCode::AnswerInvalid);
+        CPPUNIT_ASSERT(!dialect("retrieval")->answer("[1]", reason));
+        CPPUNIT_ASSERT(!dialect("service")->answer("{", reason));
+        CPPUNIT_ASSERT(!dialect("openai-generate")->event(R"({"id":"x"})", reason));
+    }
+
+    void eventsAreCutAtAnyByte()
+    {
+        const std::string stream = ": comment\nevent: token\ndata: one\ndata: two\r\n\r\ndata:three\n\n";
+        for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
+            SseReader reader;
+            bool good = true;
+            std::vector<std::string> events = reader.feed(std::string_view(stream).substr(0, cut), good);
+            const std::vector<std::string> rest = reader.feed(std::string_view(stream).substr(cut), good);
+            events.insert(events.end(), rest.begin(), rest.end());
+            CPPUNIT_ASSERT((events == std::vector<std::string>{"one\ntwo", "three"}));
+        }
+    }
+
+    void overlongEventsAreRefused()
+    {
+        SseReader reader;
+        bool good = true;
+        reader.feed(std::string(SseReader::maxEventBytes + 1, 'x'), good);
+        CPPUNIT_ASSERT(!good);
+    }
+
+    void loadHeaderNeedsItsFields()
+    {
+        const LoadReport report{"7f", true, 3, 2};
+        const std::optional<LoadReport> read = LoadHeader::parse(LoadHeader::write(report));
+        CPPUNIT_ASSERT(read && read->incarnation == "7f" && read->warm && read->running == 3 && read->waiting == 2);
+        CPPUNIT_ASSERT(!LoadHeader::parse("state=warm"));
+        CPPUNIT_ASSERT(!LoadHeader::parse("incarnation=1; state=tepid"));
+        CPPUNIT_ASSERT(!LoadHeader::parse(""));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DialectTest);
+
+} // namespace Guavalock
