--- a/Fakes/FakePlatform.cpp
+++ b/Fakes/FakePlatform.cpp
@@ -42,7 +42,8 @@
 
 FakePlatform::FakePlatform(const Asio::any_io_executor &executor, std::uint16_t port)
     : m_strand(Asio::make_strand(executor))
-    , m_server(m_strand, port, [this](FakeServer::Socket &socket, FakeServer::Request request) { return handle(socket, std::move(request)); })
+    , m_server(m_strand, port,
+               [this](FakeServer::Socket &socket, FakeServer::Request request) { return handle(socket, std::move(request)); })
 {
 }
 
@@ -145,7 +146,8 @@
     }
 }
 
-Asio::awaitable<bool> FakePlatform::read(FakeServer::Socket &socket, const std::string &name, std::uint64_t from, std::chrono::milliseconds wait)
+Asio::awaitable<bool> FakePlatform::read(FakeServer::Socket &socket, const std::string &name, std::uint64_t from,
+                                         std::chrono::milliseconds wait)
 {
     Stream &log = m_streams[name];
     if (from >= log.next && wait.count() > 0) {
--- a/Fakes/FakePlatform.h
+++ b/Fakes/FakePlatform.h
@@ -50,7 +50,8 @@
 
     boost::asio::awaitable<bool> handle(FakeServer::Socket &socket, FakeServer::Request request);
     boost::asio::awaitable<bool> append(FakeServer::Socket &socket, const std::string &name, const std::string &body);
-    boost::asio::awaitable<bool> read(FakeServer::Socket &socket, const std::string &name, std::uint64_t from, std::chrono::milliseconds wait);
+    boost::asio::awaitable<bool> read(FakeServer::Socket &socket, const std::string &name, std::uint64_t from,
+                                      std::chrono::milliseconds wait);
     bool takeToken();
     void add(const std::string &name, Stream &log, std::string id, std::string data);
     void prune(Stream &stream, std::int64_t nowMs);
--- a/Fakes/FakeTarget.cpp
+++ b/Fakes/FakeTarget.cpp
@@ -260,8 +260,8 @@
     response.set(LoadHeader::name, LoadHeader::write(report()));
     if (chance(m_settings.faults.truncate)) {
         response.prepare_payload();
-        const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + sent.attemptId + "\r\nContent-Length: "
-            + std::to_string(sent.body.size()) + "\r\n\r\n" + sent.body.substr(0, sent.body.size() / 2);
+        const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + sent.attemptId
+            + "\r\nContent-Length: " + std::to_string(sent.body.size()) + "\r\n\r\n" + sent.body.substr(0, sent.body.size() / 2);
         co_await Asio::async_write(socket, Asio::buffer(head), Asio::as_tuple(Asio::use_awaitable));
         co_return false;
     }
@@ -308,7 +308,8 @@
         }
         const bool paced = m_settings.tokenTime.count() > 0;
         if (paced || it + 1 == total) {
-            const auto [ec, n] = co_await Asio::async_write(socket, Http::make_chunk(Asio::buffer(pending)), Asio::as_tuple(Asio::use_awaitable));
+            const auto [ec, n]
+                = co_await Asio::async_write(socket, Http::make_chunk(Asio::buffer(pending)), Asio::as_tuple(Asio::use_awaitable));
             if (ec) {
                 const std::scoped_lock lock(m_mutex);
                 ++m_counts.cancelled;
--- a/Fakes/FakeTargetSettings.h
+++ b/Fakes/FakeTargetSettings.h
@@ -7,7 +7,7 @@
 namespace Guavalock
 {
 
-template<class Struct>
+template <class Struct>
 class FieldTable;
 
 /// How often a stand-in misbehaves, each as a share of its calls.
--- a/Fakes/LoadDriver.cpp
+++ b/Fakes/LoadDriver.cpp
@@ -201,7 +201,8 @@
             }
             return refused(last, name);
         }
-        const bool whole = good && got == expected && number(last, "tokens") == tokens && text(last, "checksum") == Hash::hex(Hash::of(got));
+        const bool whole
+            = good && got == expected && number(last, "tokens") == tokens && text(last, "checksum") == Hash::hex(Hash::of(got));
         if (!whole) {
             tally.violations.push_back(name + ": the stream is not whole: '" + got + "' in place of '" + expected + "'");
             return Outcome::None;
--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -66,8 +66,9 @@
     , m_claims(std::make_unique<ClaimService>(*m_services, *m_writer))
     , m_local(std::make_unique<LocalRoute>(*m_services))
     , m_peers(std::make_unique<PeerNetwork>(*m_services, *m_members, *m_local, *m_configuration))
-    , m_stages(std::make_unique<StageRunner>(*m_services, std::vector<AttemptRoute *>{m_local.get(), m_peers.get()},
-                                             [this](std::uint64_t fingerprint, std::size_t deaths) { m_peers->tellDeath(fingerprint, deaths); }))
+    , m_stages(
+          std::make_unique<StageRunner>(*m_services, std::vector<AttemptRoute *>{m_local.get(), m_peers.get()},
+                                        [this](std::uint64_t fingerprint, std::size_t deaths) { m_peers->tellDeath(fingerprint, deaths); }))
     , m_pipelines(std::make_unique<PipelineRunner>(*m_services, *m_stages, *m_claims))
     , m_prober(std::make_unique<TargetProber>(*m_services))
 {
@@ -120,7 +121,9 @@
     const Clock::TimePoint end = m_clock.now() + m_settings.limits.stopTimeout;
     boost::asio::io_context timers;
     boost::asio::steady_timer timer(timers);
-    const auto busy = [this] { return m_requests->inProgress() + m_peers->callsInProgress() > 0; };
+    const auto busy = [this] {
+        return m_requests->inProgress() + m_peers->callsInProgress() > 0;
+    };
     while (busy() && m_clock.now() < end) {
         timer.expires_after(checkInterval);
         timer.wait();
--- a/Source/Decisions/TargetState.cpp
+++ b/Source/Decisions/TargetState.cpp
@@ -126,9 +126,8 @@
 
 std::size_t TargetState::load() const
 {
-    const std::size_t others = m_report.running + m_report.waiting > m_outstandingAtReport
-        ? m_report.running + m_report.waiting - m_outstandingAtReport
-        : 0;
+    const std::size_t others
+        = m_report.running + m_report.waiting > m_outstandingAtReport ? m_report.running + m_report.waiting - m_outstandingAtReport : 0;
     return m_outstanding + others;
 }
 
--- a/Source/Flow/OneShot.h
+++ b/Source/Flow/OneShot.h
@@ -19,7 +19,7 @@
 /// A value that one operation waits for on its strand and that may be set, once, from any thread.
 ///
 /// Held by a shared_ptr. A value that comes after the wait was given up goes to the late handler, on the strand.
-template<class Value>
+template <class Value>
 class OneShot : public std::enable_shared_from_this<OneShot<Value>>
 {
 public:
@@ -35,7 +35,8 @@
     /// Sets the value. Callable from any thread; only the first value counts.
     void set(Value value)
     {
-        boost::asio::post(m_strand, [self = this->shared_from_this(), value = std::move(value)]() mutable { self->arrive(std::move(value)); });
+        boost::asio::post(m_strand,
+                          [self = this->shared_from_this(), value = std::move(value)]() mutable { self->arrive(std::move(value)); });
     }
 
     /// Waits until the value is set, a time comes or the request is cancelled; returns nothing in the latter two cases.
--- a/Source/FrontEnds/AdministrationFrontEnd.cpp
+++ b/Source/FrontEnds/AdministrationFrontEnd.cpp
@@ -219,7 +219,8 @@
         record.author = exchange.header("X-Author");
         record.expectedVersion = number(exchange.header("X-Expected-Version"));
         Reason reason;
-        const std::optional<std::uint64_t> version = co_await m_context.configuration.put(std::move(record), exchange.cancellation(), reason);
+        const std::optional<std::uint64_t> version
+            = co_await m_context.configuration.put(std::move(record), exchange.cancellation(), reason);
         if (!version) {
             const RunState run = reason.code == ResultCode::AppendUnsettled ? RunState::Unknown : RunState::No;
             Refusal refusal = Refusal::of(reason.code, run, reason.text);
--- a/Source/FrontEnds/CallerRequest.cpp
+++ b/Source/FrontEnds/CallerRequest.cpp
@@ -79,7 +79,8 @@
     }
     const std::optional<std::int64_t> value = wholeNumber(text);
     if (!value || *value < 1 || *value > deadlineMax.count()) {
-        reason = {ResultCode::BadDeadline, "X-Deadline-Ms is a whole number of milliseconds from 1 to " + std::to_string(deadlineMax.count())};
+        reason
+            = {ResultCode::BadDeadline, "X-Deadline-Ms is a whole number of milliseconds from 1 to " + std::to_string(deadlineMax.count())};
         return false;
     }
     request.deadline = std::chrono::milliseconds(*value);
--- a/Source/Kernel/Registration.h
+++ b/Source/Kernel/Registration.h
@@ -8,7 +8,7 @@
 /// Registers Plugin as an implementation of Interface while the program is loaded.
 ///
 /// Plugin needs a constructor that takes Args. Use it once, at namespace scope, in the plug-in's own .cpp file.
-template<class Interface, class Plugin, class... Args>
+template <class Interface, class Plugin, class... Args>
 class Registration
 {
 public:
--- a/Source/Kernel/Registry.h
+++ b/Source/Kernel/Registry.h
@@ -14,7 +14,7 @@
 ///
 /// Interface names its kind in a static member `pluginKind`. Args are what its factories take. A plug-in registers itself
 /// from its own translation unit with a namespace-scope Registration object; the kernel knows no plug-in by name.
-template<class Interface, class... Args>
+template <class Interface, class... Args>
 class Registry
 {
 public:
--- a/Source/Kernel/WorkerPool.h
+++ b/Source/Kernel/WorkerPool.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
 
 #include <cstddef>
 #include <thread>
--- a/Source/Peer/FrameChannel.cpp
+++ b/Source/Peer/FrameChannel.cpp
@@ -50,7 +50,8 @@
 
 void FrameChannel::send(Bytes frame)
 {
-    Asio::post(m_socket.get_executor(), [self = shared_from_this(), frame = std::move(frame)]() mutable { self->enqueue(std::move(frame)); });
+    Asio::post(m_socket.get_executor(),
+               [self = shared_from_this(), frame = std::move(frame)]() mutable { self->enqueue(std::move(frame)); });
 }
 
 void FrameChannel::enqueue(Bytes frame)
@@ -66,7 +67,8 @@
     }
     if (!m_writing) {
         m_writing = true;
-        Asio::co_spawn(m_socket.get_executor(), [self = shared_from_this()] { return self->write(); }, Asio::detached);
+        Asio::co_spawn(
+            m_socket.get_executor(), [self = shared_from_this()] { return self->write(); }, Asio::detached);
     }
 }
 
--- a/Source/Peer/PeerHandshake.cpp
+++ b/Source/Peer/PeerHandshake.cpp
@@ -62,7 +62,8 @@
 
 } // namespace
 
-FrameBuilder::Bytes PeerHandshake::proof(const std::string &key, Role role, const FrameBuilder::Hello &own, const FrameBuilder::Hello &other)
+FrameBuilder::Bytes PeerHandshake::proof(const std::string &key, Role role, const FrameBuilder::Hello &own,
+                                         const FrameBuilder::Hello &other)
 {
     FrameBuilder::Bytes text{static_cast<std::uint8_t>(role)};
     text.insert(text.end(), own.nonce.begin(), own.nonce.end());
--- a/Source/Peer/PeerLink.cpp
+++ b/Source/Peer/PeerLink.cpp
@@ -54,9 +54,15 @@
     , m_backoff(firstWait, longestWait)
     , m_random(Hash::of(services.incarnation + m_peer.vm))
 {
-    m_handlers.parts = [this](std::uint64_t call, std::vector<Part> parts) { give(call, std::move(parts)); };
-    m_handlers.stageEnd = [this](std::uint64_t call, AttemptResult result) { end(call, std::move(result)); };
-    m_handlers.snapshot = [this](ConfigurationTree tree) { m_events.snapshot(std::move(tree)); };
+    m_handlers.parts = [this](std::uint64_t call, std::vector<Part> parts) {
+        give(call, std::move(parts));
+    };
+    m_handlers.stageEnd = [this](std::uint64_t call, AttemptResult result) {
+        end(call, std::move(result));
+    };
+    m_handlers.snapshot = [this](ConfigurationTree tree) {
+        m_events.snapshot(std::move(tree));
+    };
 }
 
 PeerLink::~PeerLink() = default;
@@ -197,7 +203,8 @@
         std::optional<PeerCall::Message> message = co_await waiting->next(stage.demand.deadline + answerGrace, cancellation);
         if (!message) {
             forget(id);
-            AttemptResult result = withoutTarget(cancellation.cause() ? AttemptEnd::Cancelled : AttemptEnd::TimedOut, "the peer gave no answer");
+            AttemptResult result
+                = withoutTarget(cancellation.cause() ? AttemptEnd::Cancelled : AttemptEnd::TimedOut, "the peer gave no answer");
             result.cause = cancellation.cause();
             co_return result;
         }
@@ -206,7 +213,8 @@
         }
         if (co_await sink.take(std::move(std::get<std::vector<Part>>(*message))) == PartSink::Next::Stop) {
             forget(id);
-            co_return withoutTarget(cancellation.cause() ? AttemptEnd::Cancelled : AttemptEnd::Invalid, "the stream does not fit what came before");
+            co_return withoutTarget(cancellation.cause() ? AttemptEnd::Cancelled : AttemptEnd::Invalid,
+                                    "the stream does not fit what came before");
         }
     }
 }
--- a/Source/Peer/PeerNetwork.cpp
+++ b/Source/Peer/PeerNetwork.cpp
@@ -84,8 +84,12 @@
         }
         m_members.add(it.vm, it.dataCentre);
         PeerLink::Events events;
-        events.connected = [this, vm = it.vm] { linkUp(*m_links.at(vm)); };
-        events.snapshot = [this](ConfigurationTree tree) { m_configuration.restored(std::move(tree)); };
+        events.connected = [this, vm = it.vm] {
+            linkUp(*m_links.at(vm));
+        };
+        events.snapshot = [this](ConfigurationTree tree) {
+            m_configuration.restored(std::move(tree));
+        };
         m_links[it.vm] = std::make_unique<PeerLink>(m_services, m_members, it, std::move(events));
     }
 }
@@ -93,17 +97,21 @@
 PeerSession::Events PeerNetwork::sessionEvents()
 {
     PeerSession::Events events;
-    events.heartbeat = [this](const std::string &vm, const MemberTable::Heard &it) { heard(vm, it); };
+    events.heartbeat = [this](const std::string &vm, const MemberTable::Heard &it) {
+        heard(vm, it);
+    };
     events.death = [this](std::uint64_t fingerprint, std::size_t deaths) {
         m_services.poison.learned(fingerprint, deaths, m_services.clock.now());
     };
-    events.records = [this](const std::string &vm, const std::vector<ConfigurationTable::Stamped> &records, std::uint64_t from,
-                            std::uint64_t next) {
-        if (!m_configuration.learned(records, from, next)) {
-            requestSnapshot(vm);
-        }
+    events.records
+        = [this](const std::string &vm, const std::vector<ConfigurationTable::Stamped> &records, std::uint64_t from, std::uint64_t next) {
+              if (!m_configuration.learned(records, from, next)) {
+                  requestSnapshot(vm);
+              }
+          };
+    events.snapshot = [this] {
+        return FrameBuilder::snapshot(m_services.configuration.tree());
     };
-    events.snapshot = [this] { return FrameBuilder::snapshot(m_services.configuration.tree()); };
     return events;
 }
 
@@ -158,7 +166,8 @@
         const Asio::any_io_executor strand = socket.get_executor();
         const auto channel = std::make_shared<FrameChannel>(std::move(socket));
         const auto session = std::make_shared<PeerSession>(m_services, *m_local, channel, m_events);
-        Asio::co_spawn(strand, [session] { return session->run(); }, Asio::detached);
+        Asio::co_spawn(
+            strand, [session] { return session->run(); }, Asio::detached);
     }
 }
 
--- a/Source/Peer/PeerSession.cpp
+++ b/Source/Peer/PeerSession.cpp
@@ -81,14 +81,24 @@
 
 void PeerSession::setHandlers(const std::string &vm)
 {
-    m_handlers.heartbeat = [this, vm](const MemberTable::Heard &heard) { m_events.heartbeat(vm, heard); };
-    m_handlers.stageCall = [this](std::uint64_t call, StageCall stage) { startCall(call, std::move(stage)); };
-    m_handlers.cancel = [this](std::uint64_t call) { cancelCall(call); };
-    m_handlers.death = [this](std::uint64_t fingerprint, std::size_t deaths) { m_events.death(fingerprint, deaths); };
+    m_handlers.heartbeat = [this, vm](const MemberTable::Heard &heard) {
+        m_events.heartbeat(vm, heard);
+    };
+    m_handlers.stageCall = [this](std::uint64_t call, StageCall stage) {
+        startCall(call, std::move(stage));
+    };
+    m_handlers.cancel = [this](std::uint64_t call) {
+        cancelCall(call);
+    };
+    m_handlers.death = [this](std::uint64_t fingerprint, std::size_t deaths) {
+        m_events.death(fingerprint, deaths);
+    };
     m_handlers.records = [this, vm](std::vector<ConfigurationTable::Stamped> records, std::uint64_t from, std::uint64_t next) {
         m_events.records(vm, std::move(records), from, next);
     };
-    m_handlers.snapshotRequest = [this] { m_channel->send(m_events.snapshot()); };
+    m_handlers.snapshotRequest = [this] {
+        m_channel->send(m_events.snapshot());
+    };
 }
 
 void PeerSession::startCall(std::uint64_t call, StageCall stage)
--- a/Source/Peer/PeerSession.h
+++ b/Source/Peer/PeerSession.h
@@ -27,7 +27,8 @@
     struct Events {
         std::function<void(const std::string &vm, const MemberTable::Heard &)> heartbeat;
         std::function<void(std::uint64_t fingerprint, std::size_t deaths)> death;
-        std::function<void(const std::string &vm, std::vector<ConfigurationTable::Stamped>, std::uint64_t from, std::uint64_t next)> records;
+        std::function<void(const std::string &vm, std::vector<ConfigurationTable::Stamped>, std::uint64_t from, std::uint64_t next)>
+            records;
         std::function<FrameBuilder::Bytes()> snapshot;
     };
 
--- a/Source/Pipeline/PipelineRunner.cpp
+++ b/Source/Pipeline/PipelineRunner.cpp
@@ -84,7 +84,8 @@
                       "this pipeline may not be repeated; send Idempotency-Key and Idempotency-Issued with the request");
     }
     if (m_services.poison.standing(state.fingerprint, m_services.clock.now()) == PoisonTable::Standing::Quarantined) {
-        return RefusalTable::refusal(RefusalCause::Quarantined, RunState::Yes, true, "earlier runs of this request ended with the loss of their targets");
+        return RefusalTable::refusal(RefusalCause::Quarantined, RunState::Yes, true,
+                                     "earlier runs of this request ended with the loss of their targets");
     }
     return std::nullopt;
 }
--- a/Source/Pipeline/SlotGate.cpp
+++ b/Source/Pipeline/SlotGate.cpp
@@ -17,10 +17,13 @@
 Asio::awaitable<std::variant<Slot, RefusalCause>> SlotGate::acquire(std::string pool, const StageDemand &demand, Cancellation &cancellation)
 {
     // A slot that is granted after the call gave up goes straight back.
-    auto late = [&targets = m_targets, &clock = m_clock](const Slot &slot) { targets.release(slot, AttemptEnd::Withdrawn, clock.now()); };
+    auto late = [&targets = m_targets, &clock = m_clock](const Slot &slot) {
+        targets.release(slot, AttemptEnd::Withdrawn, clock.now());
+    };
     const auto granted = std::make_shared<OneShot<Slot>>(cancellation.strand(), late);
 
-    TargetTable::Acquired acquired = m_targets.acquire(pool, demand, m_clock.now(), [granted](Slot slot) { granted->set(std::move(slot)); });
+    TargetTable::Acquired acquired
+        = m_targets.acquire(pool, demand, m_clock.now(), [granted](Slot slot) { granted->set(std::move(slot)); });
     if (Slot *slot = std::get_if<Slot>(&acquired)) {
         co_return std::move(*slot);
     }
--- a/Source/Platform/ClaimService.cpp
+++ b/Source/Platform/ClaimService.cpp
@@ -56,7 +56,8 @@
     const std::string claimId = newClaimId();
     const auto decided = std::make_shared<OneShot<Verdict>>(cancellation.strand());
     std::shared_ptr<const PipelineAnswer> kept;
-    const KeyTable::Standing standing = m_keys.begin(key, claimId, [decided](Verdict verdict) { decided->set(verdict); }, kept);
+    const KeyTable::Standing standing = m_keys.begin(
+        key, claimId, [decided](Verdict verdict) { decided->set(verdict); }, kept);
     switch (standing) {
     case KeyTable::Standing::Answered:
         m_services.metrics.counter("keys_answered_again_total").add();
@@ -107,8 +108,8 @@
 void ClaimService::release(const std::string &key, const std::string &claimId)
 {
     const Clock::TimePoint giveUpAt = m_services.clock.now() + keyLife;
-    m_writer.append(LogWriter::Priority::Keys, LogRecords::keyStream, {claimId + ".r", LogRecords::write(LogRecords::Release{key, claimId})},
-                    giveUpAt);
+    m_writer.append(LogWriter::Priority::Keys, LogRecords::keyStream,
+                    {claimId + ".r", LogRecords::write(LogRecords::Release{key, claimId})}, giveUpAt);
 }
 
 void ClaimService::took(const PlatformLog::Batch &batch)
--- a/Source/Platform/ConfigurationService.cpp
+++ b/Source/Platform/ConfigurationService.cpp
@@ -32,7 +32,8 @@
 bool ConfigurationService::check(const ConfigurationRecord &record, Reason &reason)
 {
     if (!ConfigurationDocument::isKnownPath(record.path)) {
-        reason = {ResultCode::PathInvalid, "'" + record.path + "' is not a configuration path; use one of " + ConfigurationDocument::knownPaths()};
+        reason = {ResultCode::PathInvalid,
+                  "'" + record.path + "' is not a configuration path; use one of " + ConfigurationDocument::knownPaths()};
         return false;
     }
     if (!record.value) {
@@ -60,7 +61,9 @@
     const auto decided = std::make_shared<OneShot<ConfigurationTable::Outcome>>(cancellation.strand());
     {
         const std::scoped_lock lock(m_mutex);
-        m_waiting[record.id] = [decided](ConfigurationTable::Outcome outcome) { decided->set(std::move(outcome)); };
+        m_waiting[record.id] = [decided](ConfigurationTable::Outcome outcome) {
+            decided->set(std::move(outcome));
+        };
     }
     const Clock::TimePoint until = m_services.clock.now() + putTimeout;
     m_writer.append(LogWriter::Priority::Configuration, LogRecords::configurationStream, {record.id, LogRecords::write(record)}, until);
@@ -75,8 +78,9 @@
         co_return std::nullopt;
     }
     if (outcome->verdict != ConfigurationTree::Verdict::Accepted) {
-        reason = {ResultCode::VersionConflict, "the subtree is at version " + std::to_string(outcome->version) + ", not "
-                      + std::to_string(record.expectedVersion) + "; read it again and repeat the change"};
+        reason = {ResultCode::VersionConflict,
+                  "the subtree is at version " + std::to_string(outcome->version) + ", not " + std::to_string(record.expectedVersion)
+                      + "; read it again and repeat the change"};
         co_return std::nullopt;
     }
     co_return outcome->version;
--- a/Source/Platform/LogFollower.cpp
+++ b/Source/Platform/LogFollower.cpp
@@ -76,7 +76,8 @@
         Log::state("platform", "log-reachable", {{"stream", m_stream}, {"next", std::to_string(batch.next)}});
     }
     if (batch.oldest > m_next) {
-        Log::warning("platform", "log-truncated", {{"stream", m_stream}, {"wanted", std::to_string(m_next)}, {"oldest", std::to_string(batch.oldest)}});
+        Log::warning("platform", "log-truncated",
+                     {{"stream", m_stream}, {"wanted", std::to_string(m_next)}, {"oldest", std::to_string(batch.oldest)}});
     }
     m_backoff.reset();
     m_next = batch.next;
--- a/Source/Platform/LogRecords.cpp
+++ b/Source/Platform/LogRecords.cpp
@@ -42,7 +42,8 @@
 
 std::string LogRecords::write(const ConfigurationRecord &record)
 {
-    boost::json::object object{{"kind", configurationKind}, {"path", record.path}, {"expected", record.expectedVersion}, {"author", record.author}};
+    boost::json::object object{
+        {"kind", configurationKind}, {"path", record.path}, {"expected", record.expectedVersion}, {"author", record.author}};
     if (record.value) {
         object["value"] = *record.value;
     }
@@ -52,8 +53,8 @@
 std::string LogRecords::write(const ClaimLedger::Claim &claim)
 {
     const auto issued = std::chrono::duration_cast<std::chrono::milliseconds>(claim.issued.time_since_epoch());
-    return boost::json::serialize(boost::json::object{
-        {"kind", claimKind}, {"key", claim.key}, {"claimant", claim.claimant}, {"issued_ms", issued.count()}});
+    return boost::json::serialize(
+        boost::json::object{{"kind", claimKind}, {"key", claim.key}, {"claimant", claim.claimant}, {"issued_ms", issued.count()}});
 }
 
 std::string LogRecords::write(const Release &release)
--- a/Source/Platform/LogWriter.cpp
+++ b/Source/Platform/LogWriter.cpp
@@ -90,7 +90,9 @@
 
 Asio::awaitable<void> LogWriter::write()
 {
-    const auto empty = [this] { return std::ranges::all_of(m_queues, [](const auto &it) { return it.second.empty(); }); };
+    const auto empty = [this] {
+        return std::ranges::all_of(m_queues, [](const auto &it) { return it.second.empty(); });
+    };
     while (!empty()) {
         const Clock::TimePoint now = m_services.clock.now();
         dropLate(now);
--- a/Source/Settings/Configuration.cpp
+++ b/Source/Settings/Configuration.cpp
@@ -27,7 +27,7 @@
     return parts[1] + "/" + parts[3];
 }
 
-template<class Struct>
+template <class Struct>
 bool adoptInto(std::map<std::string, Struct> &values, const std::string &name, const SettingsNode &node, SettingsErrors &errors)
 {
     Struct value;
--- a/Source/Settings/ConfigurationDocument.cpp
+++ b/Source/Settings/ConfigurationDocument.cpp
@@ -22,7 +22,7 @@
     CheckFunction check;
 };
 
-template<class Struct>
+template <class Struct>
 void checkAs(const SettingsNode &node, SettingsErrors &errors)
 {
     Struct value;
--- a/Source/Settings/FieldTable.h
+++ b/Source/Settings/FieldTable.h
@@ -13,26 +13,26 @@
 /// The fields of one settings struct, as a table of member pointers with their checks.
 ///
 /// Reading refuses unknown keys and missing required fields, and goes on after an error so that all are reported together.
-template<class Struct>
+template <class Struct>
 class FieldTable
 {
 public:
     /// Adds a field that must be present.
-    template<class Value>
+    template <class Value>
     FieldTable &required(const std::string &name, Value Struct::*member, const std::string &expected, SettingsCheck<Value> check = {})
     {
         return add(name, member, expected, true, std::move(check));
     }
 
     /// Adds a field that must be present and whose value stands in no error.
-    template<class Value>
+    template <class Value>
     FieldTable &secret(const std::string &name, Value Struct::*member, const std::string &expected, SettingsCheck<Value> check)
     {
         return add(name, member, expected, true, std::move(check), Shown::No);
     }
 
     /// Adds a field that keeps its default when absent.
-    template<class Value>
+    template <class Value>
     FieldTable &optional(const std::string &name, Value Struct::*member, SettingsCheck<Value> check = {})
     {
         return add(name, member, {}, false, std::move(check));
@@ -65,7 +65,7 @@
         std::function<void(const SettingsNode &, Struct &, SettingsErrors &)> read;
     };
 
-    template<class Value>
+    template <class Value>
     FieldTable &add(const std::string &name, Value Struct::*member, const std::string &expected, bool required, SettingsCheck<Value> check,
                     Shown shown = Shown::Yes)
     {
--- a/Source/Settings/LimitSettings.h
+++ b/Source/Settings/LimitSettings.h
@@ -6,7 +6,7 @@
 namespace Guavalock
 {
 
-template<class Struct>
+template <class Struct>
 class FieldTable;
 
 /// What one daemon allows its callers.
--- a/Source/Settings/OrganisationSettings.h
+++ b/Source/Settings/OrganisationSettings.h
@@ -5,7 +5,7 @@
 namespace Guavalock
 {
 
-template<class Struct>
+template <class Struct>
 class FieldTable;
 
 /// An organisation that sends requests.
--- a/Source/Settings/PeerSettings.h
+++ b/Source/Settings/PeerSettings.h
@@ -7,7 +7,7 @@
 namespace Guavalock
 {
 
-template<class Struct>
+template <class Struct>
 class FieldTable;
 
 /// Another daemon that this one may call, or this daemon itself.
--- a/Source/Settings/PipelineSettings.h
+++ b/Source/Settings/PipelineSettings.h
@@ -9,7 +9,7 @@
 namespace Guavalock
 {
 
-template<class Struct>
+template <class Struct>
 class FieldTable;
 
 /// A pipeline: its stages in order, its default deadline and its service-level objective.
--- a/Source/Settings/PoolSettings.h
+++ b/Source/Settings/PoolSettings.h
@@ -9,7 +9,7 @@
 namespace Guavalock
 {
 
-template<class Struct>
+template <class Struct>
 class FieldTable;
 
 /// Targets that can stand in for one another, and how they are called and chosen.
--- a/Source/Settings/ProcessSettings.h
+++ b/Source/Settings/ProcessSettings.h
@@ -11,7 +11,7 @@
 namespace Guavalock
 {
 
-template<class Struct>
+template <class Struct>
 class FieldTable;
 
 /// What a daemon process is told when it starts: who and where it is, and whom it talks to.
--- a/Source/Settings/ServiceSettings.h
+++ b/Source/Settings/ServiceSettings.h
@@ -5,7 +5,7 @@
 namespace Guavalock
 {
 
-template<class Struct>
+template <class Struct>
 class FieldTable;
 
 /// Whether a data centre or a target may be given new work.
--- a/Source/Settings/SettingsChecks.cpp
+++ b/Source/Settings/SettingsChecks.cpp
@@ -57,7 +57,8 @@
 {
     return [](const std::string &it) -> std::optional<std::string> {
         const std::size_t slash = it.find('/');
-        const bool good = slash == std::string::npos ? isPlainName(it) : isPlainName(it.substr(0, slash)) && isPlainName(it.substr(slash + 1));
+        const bool good
+            = slash == std::string::npos ? isPlainName(it) : isPlainName(it.substr(0, slash)) && isPlainName(it.substr(slash + 1));
         if (good) {
             return std::nullopt;
         }
--- a/Source/Settings/SettingsChecks.h
+++ b/Source/Settings/SettingsChecks.h
@@ -10,7 +10,7 @@
 {
 
 /// Returns nothing when a value is allowed, or else what is expected in its place.
-template<class Value>
+template <class Value>
 using SettingsCheck = std::function<std::optional<std::string>(const Value &)>;
 
 /// Writes a number or a duration in milliseconds as it stands in a settings file.
@@ -19,7 +19,7 @@
 std::string settingText(std::chrono::milliseconds value);
 
 /// Allows values from low to high, both included.
-template<class Value>
+template <class Value>
 SettingsCheck<Value> between(Value low, Value high)
 {
     return [low, high](const Value &it) -> std::optional<std::string> {
@@ -43,7 +43,7 @@
 SettingsCheck<std::string> pluginOf(const std::string &kind);
 
 /// Allows lists that are not empty.
-template<class Item>
+template <class Item>
 SettingsCheck<std::vector<Item>> notEmpty()
 {
     return [](const std::vector<Item> &it) -> std::optional<std::string> {
--- a/Source/Settings/SettingsNode.cpp
+++ b/Source/Settings/SettingsNode.cpp
@@ -2,7 +2,6 @@
 
 #include "Settings/SettingsError.h"
 
-
 namespace Guavalock
 {
 
--- a/Source/Settings/SettingsValue.cpp
+++ b/Source/Settings/SettingsValue.cpp
@@ -24,7 +24,7 @@
 
 constexpr std::int64_t maxDurationNumber = 1'000'000;
 
-template<class Number>
+template <class Number>
 bool readNumber(const SettingsNode &node, Number &value, const std::string &expected, SettingsErrors &errors)
 {
     const std::string &text = node.yaml().IsScalar() ? node.yaml().Scalar() : std::string();
--- a/Source/Settings/SettingsValue.h
+++ b/Source/Settings/SettingsValue.h
@@ -28,14 +28,17 @@
 std::optional<std::chrono::milliseconds> parseDuration(const std::string &text);
 
 /// Reads a struct that has a static fields() with its FieldTable.
-template<class Struct>
-    requires requires { Struct::fields(); }
+template <class Struct>
+requires requires
+{
+    Struct::fields();
+}
 bool readSetting(const SettingsNode &node, Struct &value, SettingsErrors &errors)
 {
     return Struct::fields().read(node, value, errors);
 }
 
-template<class Item>
+template <class Item>
 bool readSetting(const SettingsNode &node, std::vector<Item> &value, SettingsErrors &errors)
 {
     if (!node.yaml().IsSequence()) {
@@ -51,7 +54,7 @@
     return good;
 }
 
-template<class Item>
+template <class Item>
 bool readSetting(const SettingsNode &node, std::optional<Item> &value, SettingsErrors &errors)
 {
     Item item{};
--- a/Source/Settings/StageSettings.h
+++ b/Source/Settings/StageSettings.h
@@ -7,7 +7,7 @@
 namespace Guavalock
 {
 
-template<class Struct>
+template <class Struct>
 class FieldTable;
 
 /// One stage of a pipeline.
--- a/Source/Settings/TargetSettings.h
+++ b/Source/Settings/TargetSettings.h
@@ -8,7 +8,7 @@
 namespace Guavalock
 {
 
-template<class Struct>
+template <class Struct>
 class FieldTable;
 
 /// One target: a model engine or a service instance.
--- a/Source/Stages/RerankStage.cpp
+++ b/Source/Stages/RerankStage.cpp
@@ -47,8 +47,7 @@
             reason = {ResultCode::MalformedRequest, "reranking needs the fields 'input' and 'documents'"};
             return std::nullopt;
         }
-        return boost::json::object{
-            {"query", *text}, {"documents", *documents}, {"top_n", Fields::count(context, "top_n", settings.topK)}};
+        return boost::json::object{{"query", *text}, {"documents", *documents}, {"top_n", Fields::count(context, "top_n", settings.topK)}};
     }
 
     bool merge(boost::json::object &context, boost::json::object output, Reason &reason) const override
--- a/Source/Stages/Stage.h
+++ b/Source/Stages/Stage.h
@@ -24,8 +24,7 @@
 
     /// Returns the stage's input, or nothing with a reason when the context lacks a field it needs.
     virtual std::optional<boost::json::object> input(const boost::json::object &context, const StageSettings &settings,
-                                                     Reason &reason) const
-        = 0;
+                                                     Reason &reason) const = 0;
 
     /// Adds the output of a target to the context. Returns false with a reason when the output lacks a field.
     virtual bool merge(boost::json::object &context, boost::json::object output, Reason &reason) const = 0;
--- a/Source/Tables/ConfigurationTable.cpp
+++ b/Source/Tables/ConfigurationTable.cpp
@@ -28,7 +28,8 @@
         outcomes.push_back({it.record.id, verdict, m_tree.version(ConfigurationDocument::subtree(it.record.path))});
     }
     m_tree.advanceTo(nextOffset);
-    const bool changed = std::ranges::any_of(outcomes, [](const Outcome &it) { return it.verdict == ConfigurationTree::Verdict::Accepted; });
+    const bool changed
+        = std::ranges::any_of(outcomes, [](const Outcome &it) { return it.verdict == ConfigurationTree::Verdict::Accepted; });
     if (changed) {
         m_current = Configuration::build(m_tree.documents(), m_tree.nextOffset());
     }
--- a/Source/Tables/MemberTable.cpp
+++ b/Source/Tables/MemberTable.cpp
@@ -44,8 +44,8 @@
     return member.connected && !member.draining && now - member.lastHeard < suspicionTime;
 }
 
-std::vector<std::string> MemberTable::withPool(const std::string &pool, const std::string &nearCentre, const std::set<std::string> &centresOut,
-                                               Clock::TimePoint now) const
+std::vector<std::string> MemberTable::withPool(const std::string &pool, const std::string &nearCentre,
+                                               const std::set<std::string> &centresOut, Clock::TimePoint now) const
 {
     std::vector<std::string> found;
     const std::scoped_lock lock(m_mutex);
--- a/Source/Targets/ConnectionTable.cpp
+++ b/Source/Targets/ConnectionTable.cpp
@@ -1,7 +1,7 @@
 #include "Targets/ConnectionTable.h"
 
-#include "Settings/Endpoint.h"
 #include "Net/Connection.h"
+#include "Settings/Endpoint.h"
 
 namespace Guavalock
 {
--- a/Source/Targets/LoadHeader.cpp
+++ b/Source/Targets/LoadHeader.cpp
@@ -59,8 +59,8 @@
 
 std::string LoadHeader::write(const LoadReport &report)
 {
-    return "incarnation=" + report.incarnation + "; state=" + (report.warm ? "warm" : "cold") + "; running=" + std::to_string(report.running)
-        + "; waiting=" + std::to_string(report.waiting);
+    return "incarnation=" + report.incarnation + "; state=" + (report.warm ? "warm" : "cold")
+        + "; running=" + std::to_string(report.running) + "; waiting=" + std::to_string(report.waiting);
 }
 
 } // namespace Guavalock
--- a/Source/Targets/TargetExchange.cpp
+++ b/Source/Targets/TargetExchange.cpp
@@ -3,13 +3,13 @@
 #include "Flow/CancelScope.h"
 #include "Flow/DeadlineTimer.h"
 #include "Flow/PartSink.h"
+#include "Net/Connection.h"
 #include "Tables/Slot.h"
 #include "Targets/ConnectionTable.h"
 #include "Targets/LoadHeader.h"
 #include "Targets/SseReader.h"
 #include "Targets/StreamEvent.h"
 #include "Targets/TargetCall.h"
-#include "Net/Connection.h"
 #include "Targets/TargetDialect.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -131,8 +131,8 @@
 {
     m_parser = std::make_unique<Parser>();
     m_parser->body_limit(maxAnswerBytes);
-    const auto [ec, n] = co_await Http::async_read_header(m_connection->socket(), m_connection->buffer(), *m_parser,
-                                                          Asio::as_tuple(Asio::use_awaitable));
+    const auto [ec, n]
+        = co_await Http::async_read_header(m_connection->socket(), m_connection->buffer(), *m_parser, Asio::as_tuple(Asio::use_awaitable));
     if (ec) {
         broken("the connection ended before the answer");
         co_return;
@@ -179,8 +179,8 @@
     std::array<char, readSize> buf;
     m_parser->get().body().data = buf.data();
     m_parser->get().body().size = buf.size();
-    auto [ec, n] = co_await Http::async_read_some(m_connection->socket(), m_connection->buffer(), *m_parser,
-                                                  Asio::as_tuple(Asio::use_awaitable));
+    auto [ec, n]
+        = co_await Http::async_read_some(m_connection->socket(), m_connection->buffer(), *m_parser, Asio::as_tuple(Asio::use_awaitable));
     if (ec == Http::error::need_buffer) {
         ec = {};
     }
--- a/Source/Tool/AdministrationClient.cpp
+++ b/Source/Tool/AdministrationClient.cpp
@@ -58,14 +58,16 @@
     return call("DELETE", resource, {}, headers, reason);
 }
 
-std::optional<boost::json::value> AdministrationClient::call(const std::string &method, const std::string &resource, const std::string &body,
-                                                             const Headers &headers, Reason &reason) const
+std::optional<boost::json::value> AdministrationClient::call(const std::string &method, const std::string &resource,
+                                                             const std::string &body, const Headers &headers, Reason &reason) const
 {
     Asio::io_context context;
     std::optional<HttpCaller::Answer> answer;
     HttpCaller caller(context.get_executor(), m_daemon);
     HttpCaller::Request request{method, "/admin/v1/" + resource, body, headers};
-    auto run = [&]() -> Asio::awaitable<void> { answer = co_await caller.call(std::move(request), timeout); };
+    auto run = [&]() -> Asio::awaitable<void> {
+        answer = co_await caller.call(std::move(request), timeout);
+    };
     Asio::co_spawn(context, run, Asio::detached);
     context.run();
     if (!answer) {
--- a/Source/Tool/AdministrationClient.h
+++ b/Source/Tool/AdministrationClient.h
@@ -23,7 +23,8 @@
 
     /// Returns the answer as JSON, or nothing with a reason that says what to do next.
     std::optional<boost::json::value> get(const std::string &resource, Reason &reason) const;
-    std::optional<boost::json::value> put(const std::string &resource, const std::string &body, const Headers &headers, Reason &reason) const;
+    std::optional<boost::json::value> put(const std::string &resource, const std::string &body, const Headers &headers,
+                                          Reason &reason) const;
     std::optional<boost::json::value> remove(const std::string &resource, const Headers &headers, Reason &reason) const;
 
     const Endpoint &daemon() const;
--- a/Tests/Decisions/QueueTest.cpp
+++ b/Tests/Decisions/QueueTest.cpp
@@ -35,7 +35,8 @@
     Clock::TimePoint m_now{seconds(1'000'000)};
     SlotQueue::Ticket m_ticket = 0;
 
-    void push(SlotQueue &queue, const std::string &organisation, std::size_t weight = 1, bool urgent = false, milliseconds deadline = seconds(1))
+    void push(SlotQueue &queue, const std::string &organisation, std::size_t weight = 1, bool urgent = false,
+              milliseconds deadline = seconds(1))
     {
         StageDemand demand;
         demand.organisation = organisation;
--- a/Tests/Decisions/RetryTest.cpp
+++ b/Tests/Decisions/RetryTest.cpp
@@ -23,8 +23,9 @@
     CPPUNIT_TEST(backoffGrowsWithinBounds);
     CPPUNIT_TEST_SUITE_END();
 
-    static constexpr std::array allEnds = {AttemptEnd::Answered, AttemptEnd::Withdrawn, AttemptEnd::NotSent,  AttemptEnd::Rejected, AttemptEnd::Failed,
-                                           AttemptEnd::Invalid,  AttemptEnd::Lost,      AttemptEnd::TimedOut, AttemptEnd::Cancelled};
+    static constexpr std::array allEnds
+        = {AttemptEnd::Answered, AttemptEnd::Withdrawn, AttemptEnd::NotSent,  AttemptEnd::Rejected, AttemptEnd::Failed,
+           AttemptEnd::Invalid,  AttemptEnd::Lost,      AttemptEnd::TimedOut, AttemptEnd::Cancelled};
 
     static bool mayHaveRun(AttemptEnd end)
     {
--- a/Tests/Peer/FrameTest.cpp
+++ b/Tests/Peer/FrameTest.cpp
@@ -61,7 +61,9 @@
         tree.apply({"i", "organisations/mill", 0, "weight: 2", "t"}, 6);
         std::optional<ConfigurationTree> got;
         FrameHandlers handlers;
-        handlers.snapshot = [&](ConfigurationTree it) { got = std::move(it); };
+        handlers.snapshot = [&](ConfigurationTree it) {
+            got = std::move(it);
+        };
         CPPUNIT_ASSERT(FrameReader::dispatch(FrameBuilder::snapshot(tree), m_now, handlers));
         CPPUNIT_ASSERT(got->documents() == tree.documents() && got->versions() == tree.versions());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), got->nextOffset());
--- a/Tests/Settings/SettingsTest.cpp
+++ b/Tests/Settings/SettingsTest.cpp
@@ -1,6 +1,6 @@
 #include "Settings/Configuration.h"
-#include "Settings/SettingsFile.h"
 #include "Settings/ProcessSettings.h"
+#include "Settings/SettingsFile.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/Tests/Whole/Deployment.cpp
+++ b/Tests/Whole/Deployment.cpp
@@ -79,8 +79,8 @@
             settings.faults = m_shape.faults;
             settings.seed = m_shape.seed * 1'000 + settings.port;
             const std::string name = std::string(it.prefix) + "-" + centre;
-            m_poolLines[it.pool] += "  - { name: " + name + ", address: \"127.0.0.1:" + std::to_string(settings.port) + "\", data_centre: " + centre
-                + ", slots: " + std::to_string(m_shape.slots) + ", cold_slots: " + std::to_string(m_shape.coldLimit) + " }\n";
+            m_poolLines[it.pool] += "  - { name: " + name + ", address: \"127.0.0.1:" + std::to_string(settings.port) + "\", data_centre: "
+                + centre + ", slots: " + std::to_string(m_shape.slots) + ", cold_slots: " + std::to_string(m_shape.coldLimit) + " }\n";
             m_targets[name] = std::make_unique<FakeTarget>(pool->executor(), settings);
         }
     }
--- a/Tests/Whole/WholePathTest.cpp
+++ b/Tests/Whole/WholePathTest.cpp
@@ -4,8 +4,8 @@
 #include "FakeTarget.h"
 #include "Kernel/WorkerPool.h"
 #include "LoadDriver.h"
-#include "Pipeline/Services.h"
 #include "Net/HttpCaller.h"
+#include "Pipeline/Services.h"
 #include "Tables/ConfigurationTable.h"
 #include "Tables/RequestTable.h"
 
@@ -88,8 +88,9 @@
         deployment.start();
         const auto driver = deployment.load({.requests = longRequests(), .connections = 24, .closeShare = 0.02, .seed = 42});
         LoadTally &tally = driver->tally();
-        std::cout << "\nsent " << tally.sent << ", whole answers " << tally.answered << " (" << tally.streamed << " streamed), callers gone "
-                  << tally.closed << ", resent " << tally.resent << ", cut " << tally.cut << ", violations " << tally.violations.size();
+        std::cout << "\nsent " << tally.sent << ", whole answers " << tally.answered << " (" << tally.streamed
+                  << " streamed), callers gone " << tally.closed << ", resent " << tally.resent << ", cut " << tally.cut << ", violations "
+                  << tally.violations.size();
         for (const auto &[code, n] : tally.refused) {
             std::cout << "\nrefused with " << code << ": " << n;
         }
@@ -170,9 +171,13 @@
         deployment.start();
         deployment.load({.requests = 50});
         deployment.put("data-centres/north", "service: out");
-        Deployment::waitFor("in force everywhere",
-                            [&] { return deployment.daemon(1).services().configuration.nextOffset() == deployment.daemon(0).services().configuration.nextOffset(); },
-                            milliseconds(3'000));
+        Deployment::waitFor(
+            "in force everywhere",
+            [&] {
+                return deployment.daemon(1).services().configuration.nextOffset()
+                    == deployment.daemon(0).services().configuration.nextOffset();
+            },
+            milliseconds(3'000));
         const std::size_t before = callsIn(deployment, "north");
         const auto out = deployment.load({.requests = 100, .seed = 2});
         CPPUNIT_ASSERT_EQUAL(before, callsIn(deployment, "north"));
@@ -225,7 +230,9 @@
         const auto strand = boost::asio::make_strand(deployment.pool->executor());
         const auto caller = std::make_shared<HttpCaller>(strand, deployment.callers()[daemon]);
         const HttpCaller::Request request{"POST", "/v1/desk/chat", "{\"input\":\"" + text + "\"}", {{"X-Organisation", "mill"}}};
-        auto send = [caller, request]() -> boost::asio::awaitable<void> { co_await caller->call(request, milliseconds(10'000)); };
+        auto send = [caller, request]() -> boost::asio::awaitable<void> {
+            co_await caller->call(request, milliseconds(10'000));
+        };
         boost::asio::co_spawn(strand, send, boost::asio::use_future).get();
     }
 };
--- a/Tests/main.cpp
+++ b/Tests/main.cpp
@@ -1,10 +1,10 @@
 #include <cppunit/BriefTestProgressListener.h>
+#include <cppunit/CompilerOutputter.h>
 #include <cppunit/TestFailure.h>
 #include <cppunit/TestResult.h>
 #include <cppunit/TestResultCollector.h>
 #include <cppunit/TestRunner.h>
 #include <cppunit/extensions/TestFactoryRegistry.h>
-#include <cppunit/CompilerOutputter.h>
 
 #include <csignal>
 #include <iostream>
