--- a/Fakes/LoadDriver.cpp
+++ b/Fakes/LoadDriver.cpp
@@ -98,6 +98,11 @@
         co_return answer;
     }
 
+    std::chrono::milliseconds stay()
+    {
+        return std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(1, m_driver.m_plan.closeWithin.count())(m_random));
+    }
+
     Asio::awaitable<void> quote(std::size_t index, bool stream, bool goAway)
     {
         const std::string input = "request " + std::to_string(m_driver.m_plan.seed) + "/" + std::to_string(index);
@@ -105,7 +110,7 @@
         request.path = "/v1/desk/quote";
         request.body = boost::json::serialize(boost::json::value(boost::json::object{{"input", input}}));
         request.stream = stream;
-        request.closeAfter = std::chrono::milliseconds(goAway ? 1 + m_random() % 20 : 0);
+        request.closeAfter = goAway ? stay() : std::chrono::milliseconds(0);
         const auto start = std::chrono::steady_clock::now();
         const LoadCaller::Answer answer = co_await exchange(std::move(request));
         const auto took = std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - start);
--- a/Fakes/LoadPlan.h
+++ b/Fakes/LoadPlan.h
@@ -18,6 +18,7 @@
     double streamShare = 0.3;
     double bookingShare = 0.1;
     double closeShare = 0; ///< Callers that go away before their answer.
+    std::chrono::milliseconds closeWithin{20}; ///< How long such a caller stays at most.
     std::size_t resends = 2; ///< Of a booking that was refused, to the next daemon.
     std::chrono::milliseconds deadline{8'000};
     std::uint64_t seed = 1;
--- a/Source/FrontEnds/CallerRequest.cpp
+++ b/Source/FrontEnds/CallerRequest.cpp
@@ -17,6 +17,7 @@
 {
 
 constexpr std::size_t maxKeyLength = 128;
+constexpr std::int64_t latestIssue = 7'258'118'400'000; ///< Milliseconds since 1970 at the year 2200.
 constexpr std::string_view pathStart = "/v1/";
 
 /// Reads one part of the request. Returns false with the refusal's code and reason set.
@@ -99,7 +100,7 @@
         return false;
     }
     const std::optional<std::int64_t> issued = wholeNumber(exchange.header(CallerRequest::issuedHeader));
-    if (!issued) {
+    if (!issued || *issued < 0 || *issued > latestIssue) {
         reason = {ResultCode::BadIdempotencyKey, "Idempotency-Issued gives the key's time of issue in milliseconds since 1970"};
         return false;
     }
--- a/Source/Peer/FrameReader.cpp
+++ b/Source/Peer/FrameReader.cpp
@@ -3,6 +3,7 @@
 #include "Peer/Generated/Peer_generated.h"
 #include "Targets/JsonText.h"
 
+#include <algorithm>
 #include <array>
 
 namespace Guavalock
@@ -19,6 +20,13 @@
     return it == nullptr ? std::string() : it->str();
 }
 
+/// Returns a duration that a peer sent, kept within what arithmetic on time points can bear.
+Clock::Duration boundedDuration(std::int64_t microseconds)
+{
+    constexpr std::int64_t longest = std::chrono::microseconds(std::chrono::hours(1)).count();
+    return std::chrono::microseconds(std::clamp<std::int64_t>(microseconds, 0, longest));
+}
+
 const Wire::Frame *verified(FrameReader::Bytes frame)
 {
     flatbuffers::Verifier verifier(frame.data(), frame.size());
@@ -67,7 +75,7 @@
     call.demand.affinity = wire.affinity();
     call.demand.urgent = wire.urgent();
     call.demand.suspect = wire.suspect();
-    call.demand.deadline = now + std::chrono::microseconds(wire.remaining_us());
+    call.demand.deadline = now + boundedDuration(wire.remaining_us());
     call.input = std::move(*input);
     call.position = wire.position();
     call.textSoFar = text(wire.text_so_far());
@@ -118,7 +126,7 @@
     result.tokensIn = wire.tokens_in();
     result.tokensOut = wire.tokens_out();
     result.target = text(wire.target());
-    result.took = std::chrono::microseconds(wire.took_us());
+    result.took = boundedDuration(wire.took_us());
     result.targetDied = wire.target_died();
     if (handlers.stageEnd) {
         handlers.stageEnd(wire.call(), std::move(result));
--- /dev/null
+++ b/Tests/FrontEnds/BadInputTest.cpp
@@ -0,0 +1,186 @@
+#include "Daemon/Daemon.h"
+#include "Deployment.h"
+#include "LoadDriver.h"
+#include "Pipeline/Services.h"
+#include "Tables/RequestTable.h"
+#include "Tool/AdministrationClient.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+#include <thread>
+
+namespace Guavalock
+{
+
+using std::chrono::milliseconds;
+
+class BadInputTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(BadInputTest);
+    CPPUNIT_TEST(badRequestsGetNumberedRefusals);
+    CPPUNIT_TEST(slowSendersAreRefused);
+    CPPUNIT_TEST(halfClosedCallersAreAnswered);
+    CPPUNIT_TEST(othersAreServedMeanwhile);
+    CPPUNIT_TEST(administrationNamesItsMistakes);
+    CPPUNIT_TEST(racingOperatorsHaveOneWinner);
+    CPPUNIT_TEST_SUITE_END();
+
+    static Deployment::Shape shape()
+    {
+        Deployment::Shape it;
+        it.adjust = [](ProcessSettings &settings) {
+            settings.limits.headerBytes = 2'048;
+            settings.limits.bodyBytes = 4'096;
+            settings.limits.receiveTimeout = milliseconds(300);
+        };
+        return it;
+    }
+
+    /// Sends bytes, closes the sending side if asked, and returns everything that comes back.
+    static std::string exchange(const Endpoint &daemon, const std::string &bytes, bool halfClose)
+    {
+        boost::asio::io_context context;
+        boost::asio::ip::tcp::socket socket(context);
+        socket.connect({boost::asio::ip::make_address(daemon.address), daemon.port});
+        boost::system::error_code ec;
+        boost::asio::write(socket, boost::asio::buffer(bytes), ec);
+        if (halfClose) {
+            socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
+        }
+        std::string answer;
+        boost::asio::read(socket, boost::asio::dynamic_buffer(answer), ec);
+        return answer;
+    }
+
+    static std::string post(const std::string &path, const std::string &headers, const std::string &body)
+    {
+        return "POST " + path + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n" + headers + "Content-Length: " + std::to_string(body.size())
+            + "\r\n\r\n" + body;
+    }
+
+    static void expectCode(const std::string &answer, unsigned code, const std::string &what)
+    {
+        const std::string wanted = "\"code\":" + std::to_string(code) + ",";
+        CPPUNIT_ASSERT_MESSAGE(what + ": " + answer, answer.find(wanted) != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(what + ": " + answer, answer.find("\"run\":\"no\"") != std::string::npos);
+    }
+
+public:
+    void badRequestsGetNumberedRefusals()
+    {
+        struct Case {
+            const char *what;
+            std::string bytes;
+            unsigned code;
+        };
+        const std::string mill = "X-Organisation: mill\r\n";
+        const std::string good = R"({"input":"x"})";
+        const std::array cases = {
+            Case{"not HTTP", "hello there\r\n\r\n", 101},
+            Case{"not JSON", post("/v1/desk/quote", mill, "{"), 101},
+            Case{"not an object", post("/v1/desk/quote", mill, "[1]"), 101},
+            Case{"deep nesting", post("/v1/desk/quote", mill, std::string(2'000, '[')), 101},
+            Case{"missing field", post("/v1/desk/quote", mill, "{}"), 101},
+            Case{"oversize header", post("/v1/desk/quote", "X-Long: " + std::string(4'000, 'a') + "\r\n", good), 102},
+            Case{"oversize body", post("/v1/desk/quote", mill, std::string(8'000, 'a')), 103},
+            Case{"unknown team", post("/v1/nobody/quote", mill, good), 105},
+            Case{"unknown pipeline", post("/v1/desk/nothing", mill, good), 105},
+            Case{"zero deadline", post("/v1/desk/quote", mill + "X-Deadline-Ms: 0\r\n", good), 106},
+            Case{"endless deadline", post("/v1/desk/quote", mill + "X-Deadline-Ms: 99999999999999999999\r\n", good), 106},
+            Case{"deadline in words", post("/v1/desk/quote", mill + "X-Deadline-Ms: soon\r\n", good), 106},
+            Case{"unknown class", post("/v1/desk/quote", mill + "X-Class: first\r\n", good), 107},
+            Case{"no organisation", post("/v1/desk/quote", "", good), 108},
+            Case{"foreign organisation", post("/v1/desk/quote", "X-Organisation: nobody\r\n", good), 108},
+            Case{"wrong method", "GET /v1/desk/quote HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", 109},
+            Case{"booking without a key", post("/v1/desk/book", mill, good), 111},
+            Case{"key without its time", post("/v1/desk/book", mill + "Idempotency-Key: k\r\n", good), 111},
+            Case{"key too long", post("/v1/desk/book", mill + "Idempotency-Issued: 1\r\nIdempotency-Key: " + std::string(200, 'k') + "\r\n", good), 111},
+            Case{"unknown path", post("/v2/desk/quote", mill, good), 112},
+        };
+        Deployment deployment(shape());
+        deployment.start();
+        for (const Case &it : cases) {
+            expectCode(exchange(deployment.callers().front(), it.bytes, false), it.code, it.what);
+        }
+    }
+
+    void slowSendersAreRefused()
+    {
+        Deployment deployment(shape());
+        deployment.start();
+        const std::string part = post("/v1/desk/quote", "X-Organisation: mill\r\n", R"({"input":"x"})").substr(0, 60);
+        expectCode(exchange(deployment.callers().front(), part, false), 104, "slow sender");
+    }
+
+    void halfClosedCallersAreAnswered()
+    {
+        Deployment deployment(shape());
+        deployment.start();
+        const std::string half = "POST /v1/desk/quote HTTP/1.1\r\nHost: x\r\nContent-Length: 500\r\n\r\n{";
+        expectCode(exchange(deployment.callers().front(), half, true), 101, "cut body");
+        const std::string whole = post("/v1/desk/quote", "X-Organisation: mill\r\n", R"({"input":"x"})");
+        const std::string answer = exchange(deployment.callers().front(), whole, true);
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.find("\"code\":") != std::string::npos || answer.find("\"text\":") != std::string::npos);
+    }
+
+    void othersAreServedMeanwhile()
+    {
+        Deployment deployment(shape());
+        deployment.start();
+        boost::asio::io_context context;
+        std::vector<boost::asio::ip::tcp::socket> sockets;
+        const Endpoint daemon = deployment.callers().front();
+        for (int it = 0; it < 200; ++it) {
+            sockets.emplace_back(context);
+            sockets.back().connect({boost::asio::ip::make_address(daemon.address), daemon.port});
+            boost::asio::write(sockets.back(), boost::asio::buffer(std::string("POST /v1/desk/quote HTTP/1.1\r\n")));
+        }
+        const auto driver = deployment.load({.requests = 100});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(100), driver->tally().answered);
+    }
+
+    void administrationNamesItsMistakes()
+    {
+        Deployment deployment({});
+        deployment.start();
+        const AdministrationClient client(deployment.administration(0));
+        Reason reason;
+        CPPUNIT_ASSERT(!client.get("nothing", reason) && reason.code == ResultCode::UnknownPath);
+        CPPUNIT_ASSERT(!client.put("status", "", {}, reason) && reason.code == ResultCode::MethodNotAllowed);
+        CPPUNIT_ASSERT(!client.get("reports/weather", reason) && reason.code == ResultCode::UnknownPath);
+        CPPUNIT_ASSERT(!client.put("configuration/teams/desk", "x: 1", {}, reason) && reason.code == ResultCode::PathInvalid);
+        CPPUNIT_ASSERT(!client.put("configuration/organisations/new", "weight: -1", {}, reason) && reason.code == ResultCode::SettingsInvalid);
+    }
+
+    void racingOperatorsHaveOneWinner()
+    {
+        Deployment deployment({.centres = {"north", "south"}});
+        deployment.start();
+        std::array<std::optional<boost::json::value>, 2> answers;
+        std::array<Reason, 2> reasons;
+        std::array<std::thread, 2> operators;
+        for (std::size_t it = 0; it < operators.size(); ++it) {
+            operators[it] = std::thread([&, it] {
+                const AdministrationClient client(deployment.administration(it));
+                answers[it] = client.put("configuration/organisations/new", "weight: " + std::to_string(it + 1), {{"X-Expected-Version", "0"}}, reasons[it]);
+            });
+        }
+        for (std::thread &it : operators) {
+            it.join();
+        }
+        CPPUNIT_ASSERT(answers[0].has_value() != answers[1].has_value());
+        const std::size_t loser = answers[0] ? 1 : 0;
+        CPPUNIT_ASSERT(reasons[loser].code == ResultCode::VersionConflict);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BadInputTest);
+
+} // namespace Guavalock
--- /dev/null
+++ b/Tests/Tables/TargetTableTest.cpp
@@ -0,0 +1,129 @@
+#include "Decisions/StageDemand.h"
+#include "Settings/Configuration.h"
+#include "Tables/TargetTable.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Guavalock
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class TargetTableTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TargetTableTest);
+    CPPUNIT_TEST(freedSlotsGoToThoseWhoWait);
+    CPPUNIT_TEST(withdrawnTicketsGetNothing);
+    CPPUNIT_TEST(hopelessWaitsAreRefusedAtOnce);
+    CPPUNIT_TEST(targetsOutOfServiceAreNamedSo);
+    CPPUNIT_TEST(knownTargetsKeepTheirStateOverChanges);
+    CPPUNIT_TEST(predictedFinishAvoidsTheSlowTarget);
+    CPPUNIT_TEST_SUITE_END();
+
+    Clock::TimePoint m_now{seconds(1'000)};
+    TargetTable m_table{{"vm", "north", {"vm"}}, 1};
+    Configuration m_configuration;
+
+    StageDemand demand(milliseconds time = seconds(5)) const
+    {
+        StageDemand it;
+        it.organisation = "mill";
+        it.deadline = m_now + time;
+        return it;
+    }
+
+    void addTarget(const std::string &name, std::size_t slots)
+    {
+        PoolSettings &pool = m_configuration.pools["t/p"];
+        pool.dialect = "service";
+        pool.targets.push_back({name, {"127.0.0.1", static_cast<std::uint16_t>(9'000 + pool.targets.size())}, "north", slots, slots});
+        m_table.adopt(m_configuration);
+        m_table.reported("t/p", name, {"a", true, 0, 0}, m_now);
+    }
+
+    std::optional<Slot> take(TargetTable::Grant grant = {})
+    {
+        const TargetTable::Acquired acquired = m_table.acquire("t/p", demand(), m_now, std::move(grant));
+        const Slot *slot = std::get_if<Slot>(&acquired);
+        return slot == nullptr ? std::nullopt : std::optional<Slot>(*slot);
+    }
+
+public:
+    void freedSlotsGoToThoseWhoWait()
+    {
+        addTarget("a", 1);
+        const std::optional<Slot> first = take();
+        CPPUNIT_ASSERT(first);
+        std::optional<Slot> granted;
+        CPPUNIT_ASSERT(!take([&](Slot it) { granted = std::move(it); }));
+        CPPUNIT_ASSERT(!granted);
+        m_table.release(*first, AttemptEnd::Answered, m_now + milliseconds(10));
+        CPPUNIT_ASSERT(granted && granted->target == "a");
+    }
+
+    void withdrawnTicketsGetNothing()
+    {
+        addTarget("a", 1);
+        const std::optional<Slot> first = take();
+        bool granted = false;
+        const TargetTable::Acquired acquired = m_table.acquire("t/p", demand(), m_now, [&](const Slot &) { granted = true; });
+        CPPUNIT_ASSERT(m_table.withdraw("t/p", std::get<TargetTable::Ticket>(acquired)));
+        m_table.release(*first, AttemptEnd::Answered, m_now + milliseconds(10));
+        CPPUNIT_ASSERT(!granted);
+        CPPUNIT_ASSERT(!m_table.withdraw("t/p", std::get<TargetTable::Ticket>(acquired)));
+    }
+
+    void hopelessWaitsAreRefusedAtOnce()
+    {
+        addTarget("a", 1);
+        std::optional<Slot> slot = take();
+        m_table.release(*slot, AttemptEnd::Answered, m_now + seconds(2));
+        slot = take();
+        for (int it = 0; it < 2; ++it) {
+            CPPUNIT_ASSERT(std::holds_alternative<TargetTable::Ticket>(m_table.acquire("t/p", demand(seconds(60)), m_now, [](const Slot &) {})));
+        }
+        const TargetTable::Acquired hopeless = m_table.acquire("t/p", demand(seconds(3)), m_now, [](const Slot &) {});
+        CPPUNIT_ASSERT(std::get<RefusalCause>(hopeless) == RefusalCause::Overloaded);
+    }
+
+    void targetsOutOfServiceAreNamedSo()
+    {
+        addTarget("a", 1);
+        m_configuration.targetsOut.insert("a");
+        m_table.adopt(m_configuration);
+        CPPUNIT_ASSERT(std::get<RefusalCause>(m_table.acquire("t/p", demand(), m_now, {})) == RefusalCause::DataCentreOut);
+        CPPUNIT_ASSERT(std::get<RefusalCause>(m_table.acquire("t/none", demand(), m_now, {})) == RefusalCause::NoTarget);
+        CPPUNIT_ASSERT(m_table.usablePools(m_now).empty());
+    }
+
+    void knownTargetsKeepTheirStateOverChanges()
+    {
+        addTarget("a", 4);
+        const std::optional<Slot> slot = take();
+        addTarget("b", 4);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_table.rows().front().outstanding);
+        m_configuration.pools.clear();
+        m_table.adopt(m_configuration);
+        m_table.release(*slot, AttemptEnd::Answered, m_now);
+        CPPUNIT_ASSERT(m_table.rows().empty());
+    }
+
+    void predictedFinishAvoidsTheSlowTarget()
+    {
+        addTarget("fast", 8);
+        addTarget("slow", 8);
+        int slow = 0;
+        for (int it = 0; it < 200; ++it) {
+            const std::optional<Slot> slot = take();
+            const bool isSlow = slot->target == "slow";
+            slow += isSlow ? 1 : 0;
+            m_table.release(*slot, AttemptEnd::Answered, m_now + milliseconds(isSlow ? 80 : 10));
+        }
+        CPPUNIT_ASSERT(slow < 20);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TargetTableTest);
+
+} // namespace Guavalock
--- a/Tests/Whole/WholePathTest.cpp
+++ b/Tests/Whole/WholePathTest.cpp
@@ -103,7 +103,7 @@
     {
         Deployment deployment({.tokenTime = milliseconds(20)});
         deployment.start();
-        deployment.load({.requests = 40, .connections = 20, .bookingShare = 0, .closeShare = 1.0});
+        deployment.load({.requests = 40, .connections = 20, .bookingShare = 0, .closeShare = 1.0, .closeWithin = milliseconds(300)});
         Deployment::waitFor("no request in progress", [&] { return deployment.daemon(0).services().requests.inProgress() == 0; });
         Deployment::waitFor("engine told", [&] { return deployment.target("engine-north").counts().cancelled > 0; });
     }
