Relay streams in larger pieces; measure overhead, rates and control

Cause: the reader of a target's stream awaited once for each HTTP chunk and once for its end, so a token cost two wake-ups and tokens that had arrived together left apart. perf showed a fifth of the time in malloc. Change: everything that has arrived is parsed before the next read; one buffer a chunk in place of three; events are parsed in a buffer on the stack.

--- a/Benchmarks/client.cpp
+++ b/Benchmarks/client.cpp
@@ -53,7 +53,9 @@
     void print(const char *name, std::chrono::duration<double> took)
     {
         std::ranges::sort(values);
-        const auto quantile = [&](double q) { return values[static_cast<std::size_t>(q * static_cast<double>(values.size() - 1))].count(); };
+        const auto quantile = [&](double q) {
+            return values[static_cast<std::size_t>(q * static_cast<double>(values.size() - 1))].count();
+        };
         std::cout << name << "_count " << values.size() << "\n" << name << "_failures " << failures << "\n";
         if (!values.empty()) {
             std::cout << name << "_median_us " << quantile(0.5) << "\n" << name << "_p95_us " << quantile(0.95) << "\n";
@@ -71,7 +73,8 @@
         const std::size_t equals = it.find('=');
         std::string body = it.substr(equals + 1);
         std::ranges::replace(body, ';', ',');
-        calls.push_back({{"127.0.0.1", static_cast<std::uint16_t>(std::stoi(it.substr(0, slash)))}, it.substr(slash, equals - slash), body});
+        calls.push_back(
+            {{"127.0.0.1", static_cast<std::uint16_t>(std::stoi(it.substr(0, slash)))}, it.substr(slash, equals - slash), body});
     }
     return calls;
 }
@@ -108,7 +111,8 @@
             }
             const LoadCaller::Answer answer = co_await callers[it]->send(calls[it].endpoint, std::move(request));
             failures += answer.status == 200 ? 0 : 1;
-            for (std::size_t at = answer.body.find("\"position\""); at != std::string::npos; at = answer.body.find("\"position\"", at + 1)) {
+            for (std::size_t at = answer.body.find("\"position\""); at != std::string::npos;
+                 at = answer.body.find("\"position\"", at + 1)) {
                 ++tokens;
             }
         }
@@ -154,7 +158,9 @@
     const SteadyClock::time_point start = SteadyClock::now();
     for (std::size_t it = 0; it < connections; ++it) {
         const std::size_t share = absl::GetFlag(FLAGS_requests) / connections;
-        auto run = [&calls, share, stream, &samples] { return work(calls, share, stream, samples); };
+        auto run = [&calls, share, stream, &samples] {
+            return work(calls, share, stream, samples);
+        };
         ends.push_back(Asio::co_spawn(Asio::make_strand(pool.executor()), run, Asio::use_future));
     }
     for (std::future<void> &it : ends) {
--- a/Benchmarks/relay.cpp
+++ b/Benchmarks/relay.cpp
@@ -1,5 +1,5 @@
-#include "Flow/Cancellation.h"
 #include "FakeServer.h"
+#include "Flow/Cancellation.h"
 #include "Kernel/WorkerPool.h"
 #include "LoadCaller.h"
 
--- a/Source/FrontEnds/EventStream.cpp
+++ b/Source/FrontEnds/EventStream.cpp
@@ -13,6 +13,8 @@
 namespace
 {
 
+constexpr std::size_t tokenBytes = 96; ///< Of one token event, about.
+
 std::string event(const char *name, const boost::json::object &data)
 {
     return std::string("event: ") + name + "\ndata: " + boost::json::serialize(data) + "\n\n";
@@ -46,11 +48,14 @@
 
 Asio::awaitable<PartSink::Next> EventStream::take(std::vector<Part> parts)
 {
-    const bool begun = co_await begin();
-    if (!begun) {
-        co_return Next::Stop;
+    if (!m_exchange.streaming()) {
+        const bool begun = co_await begin();
+        if (!begun) {
+            co_return Next::Stop;
+        }
     }
     std::string bytes;
+    bytes.reserve(parts.size() * tokenBytes);
     for (const Part &it : parts) {
         appendToken(bytes, it);
     }
--- a/Source/FrontEnds/HttpExchange.cpp
+++ b/Source/FrontEnds/HttpExchange.cpp
@@ -12,6 +12,9 @@
 #include <boost/beast/http/write.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <array>
+#include <cstdio>
+
 namespace Guavalock
 {
 
@@ -23,6 +26,13 @@
 
 constexpr unsigned httpVersion = 11;
 
+std::string chunkHead(std::size_t size)
+{
+    std::array<char, 20> buf{};
+    const int n = std::snprintf(buf.data(), buf.size(), "%zx\r\n", size);
+    return {buf.data(), static_cast<std::size_t>(n)};
+}
+
 std::string_view view(boost::beast::string_view text)
 {
     return {text.data(), text.size()};
@@ -123,7 +133,11 @@
 
 Asio::awaitable<bool> HttpExchange::sendEvents(std::string bytes)
 {
-    const auto [ec, n] = co_await Asio::async_write(m_socket, Http::make_chunk(Asio::buffer(bytes)), Asio::as_tuple(Asio::use_awaitable));
+    // One buffer with the chunk's size and end around it costs less than a sequence of three.
+    std::string chunk = chunkHead(bytes.size());
+    chunk += bytes;
+    chunk += "\r\n";
+    const auto [ec, n] = co_await Asio::async_write(m_socket, Asio::buffer(chunk), Asio::as_tuple(Asio::use_awaitable));
     m_keepAlive = m_keepAlive && !ec;
     co_return !ec;
 }
--- a/Source/Peer/PeerNetwork.cpp
+++ b/Source/Peer/PeerNetwork.cpp
@@ -3,6 +3,8 @@
 #include "Decisions/Hash.h"
 #include "Flow/AttemptResult.h"
 #include "Flow/Cancellation.h"
+#include "Kernel/Counter.h"
+#include "Kernel/Metrics.h"
 #include "Peer/FrameChannel.h"
 #include "Peer/PeerLink.h"
 #include "Pipeline/Services.h"
@@ -69,6 +71,7 @@
     , m_strand(Asio::make_strand(services.executor))
     , m_acceptor(m_strand)
     , m_local(std::make_unique<CountingRoute>(local))
+    , m_bytes(services.metrics.counter("peer_control_bytes_total"))
     , m_events(sessionEvents())
 {
     addLinks();
@@ -236,6 +239,7 @@
 
 void PeerNetwork::broadcast(const FrameBuilder::Bytes &frame)
 {
+    m_bytes.add(frame.size() * m_links.size());
     for (auto &[vm, link] : m_links) {
         link->send(frame);
     }
--- a/Source/Peer/PeerNetwork.h
+++ b/Source/Peer/PeerNetwork.h
@@ -17,6 +17,7 @@
 {
 
 class ConfigurationService;
+class Counter;
 class MemberTable;
 class PeerLink;
 
@@ -67,6 +68,7 @@
     boost::asio::any_io_executor m_strand;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::unique_ptr<CountingRoute> m_local;
+    Counter &m_bytes; ///< Of control frames to all peers, without TCP's own.
     PeerSession::Events m_events;
     std::map<std::string, std::unique_ptr<PeerLink>> m_links;
     std::set<std::string> m_poolsSent;
--- a/Source/Pipeline/TargetProber.cpp
+++ b/Source/Pipeline/TargetProber.cpp
@@ -23,7 +23,7 @@
 
 constexpr std::chrono::milliseconds interval{50};
 constexpr std::chrono::milliseconds reportLife{2'000};
-constexpr double probesPerSecond = 8.0;
+constexpr double probesPerSecond = 4.0;
 constexpr std::size_t probeBurst = 64;
 
 } // namespace
--- a/Source/Targets/OpenAiGenerateDialect.cpp
+++ b/Source/Targets/OpenAiGenerateDialect.cpp
@@ -1,13 +1,16 @@
 #include "Kernel/Registration.h"
-#include "Targets/JsonText.h"
 #include "Targets/StreamEvent.h"
 #include "Targets/TargetCall.h"
 #include "Targets/TargetDialect.h"
 
 #include <boost/json/array.hpp>
+#include <boost/json/monotonic_resource.hpp>
+#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 
+#include <array>
+
 namespace Guavalock
 {
 
@@ -15,6 +18,7 @@
 {
 
 constexpr std::string_view doneMark = "[DONE]";
+constexpr std::size_t parseBuffer = 2'048;
 constexpr int urgentPriority = 0;
 constexpr int ordinaryPriority = 10;
 
@@ -24,10 +28,10 @@
     return value != nullptr && value->is_int64() && value->get_int64() >= 0 ? static_cast<std::size_t>(value->get_int64()) : 0;
 }
 
-std::string text(const boost::json::object &object, const char *name)
+std::string_view text(const boost::json::object &object, const char *name)
 {
     const boost::json::value *value = object.if_contains(name);
-    return value != nullptr && value->is_string() ? std::string(value->get_string()) : std::string();
+    return value != nullptr && value->is_string() ? std::string_view(value->get_string()) : std::string_view();
 }
 
 void readUsage(const boost::json::object &usage, StreamEvent &event)
@@ -69,31 +73,41 @@
         return std::nullopt;
     }
 
-    std::optional<StreamEvent> event(std::string_view data, Reason &reason) const override
+    std::optional<StreamEvent> event(std::string_view data, std::string_view attemptId, Reason &reason) const override
     {
         if (data == doneMark) {
-            return StreamEvent{StreamEvent::Kind::Failure, {}, 0, "the stream is done without a total", 0};
+            return StreamEvent{StreamEvent::Kind::Failure, true, 0, "the stream is done without a total", 0};
         }
-        std::optional<boost::json::object> object = JsonText::object(data, ResultCode::AnswerInvalid, reason);
-        if (!object) {
+        // There is one event for each token, so the parsed value lives in a buffer on the stack.
+        std::array<unsigned char, parseBuffer> buf;
+        boost::json::monotonic_resource memory(buf.data(), buf.size());
+        boost::json::error_code ec;
+        const boost::json::value value = boost::json::parse(data, ec, &memory);
+        if (ec || !value.is_object()) {
+            reason = {ResultCode::AnswerInvalid, "an event of the target's stream is not a JSON object"};
             return std::nullopt;
         }
+        return read(value.get_object(), attemptId, reason);
+    }
+
+private:
+    static std::optional<StreamEvent> read(const boost::json::object &object, std::string_view attemptId, Reason &reason)
+    {
         StreamEvent event;
-        event.attemptId = text(*object, "id");
-        event.position = number(*object, "position");
-        if (object->contains("error")) {
+        event.ownAttempt = text(object, "id") == attemptId;
+        event.position = number(object, "position");
+        if (object.contains("error")) {
             event.kind = StreamEvent::Kind::Failure;
-            event.text = boost::json::serialize(object->at("error"));
-        } else if (const boost::json::value *usage = object->if_contains("usage"); usage != nullptr && usage->is_object()) {
+            event.text = boost::json::serialize(object.at("error"));
+        } else if (const boost::json::value *usage = object.if_contains("usage"); usage != nullptr && usage->is_object()) {
             readUsage(usage->get_object(), event);
-        } else if (!readChoice(*object, event)) {
+        } else if (!readChoice(object, event)) {
             reason = {ResultCode::AnswerInvalid, "an event of the target's stream holds no choice"};
             return std::nullopt;
         }
         return event;
     }
 
-private:
     static bool readChoice(const boost::json::object &object, StreamEvent &event)
     {
         const boost::json::value *choices = object.if_contains("choices");
--- a/Source/Targets/StreamEvent.h
+++ b/Source/Targets/StreamEvent.h
@@ -14,7 +14,7 @@
     };
 
     Kind kind = Kind::Part;
-    std::string attemptId; ///< Empty when the event carries none.
+    bool ownAttempt = true; ///< Whether the event carries the id of the attempt it came for.
     std::size_t position = 0; ///< Of the token, counted from zero; at the end, the number of tokens.
     std::string text;
     std::size_t promptTokens = 0; ///< At the end.
--- a/Source/Targets/TargetDialect.cpp
+++ b/Source/Targets/TargetDialect.cpp
@@ -10,7 +10,7 @@
     return false;
 }
 
-std::optional<StreamEvent> TargetDialect::event(std::string_view, Reason &reason) const
+std::optional<StreamEvent> TargetDialect::event(std::string_view, std::string_view, Reason &reason) const
 {
     reason = {ResultCode::AnswerInvalid, "this dialect has no streams"};
     return std::nullopt;
--- a/Source/Targets/TargetDialect.h
+++ b/Source/Targets/TargetDialect.h
@@ -31,8 +31,8 @@
     /// Reads a whole answer into the stage's output, or returns nothing with a reason.
     virtual std::optional<boost::json::object> answer(std::string_view body, Reason &reason) const = 0;
 
-    /// Reads the data of one server-sent event, or returns nothing with a reason.
-    virtual std::optional<StreamEvent> event(std::string_view data, Reason &reason) const;
+    /// Reads the data of one server-sent event of an attempt, or returns nothing with a reason.
+    virtual std::optional<StreamEvent> event(std::string_view data, std::string_view attemptId, Reason &reason) const;
 };
 
 } // namespace Guavalock
--- a/Source/Targets/TargetExchange.cpp
+++ b/Source/Targets/TargetExchange.cpp
@@ -174,21 +174,47 @@
     }
 }
 
-Asio::awaitable<bool> TargetExchange::readSome(std::string &bytes)
+boost::system::error_code TargetExchange::parseArrived(std::string &bytes)
 {
     std::array<char, readSize> buf;
-    m_parser->get().body().data = buf.data();
-    m_parser->get().body().size = buf.size();
-    auto [ec, n]
-        = co_await Http::async_read_some(m_connection->socket(), m_connection->buffer(), *m_parser, Asio::as_tuple(Asio::use_awaitable));
-    if (ec == Http::error::need_buffer) {
-        ec = {};
+    boost::beast::flat_buffer &arrived = m_connection->buffer();
+    while (arrived.size() > 0 && !m_parser->is_done()) {
+        m_parser->get().body().data = buf.data();
+        m_parser->get().body().size = buf.size();
+        boost::system::error_code ec;
+        const std::size_t used = m_parser->put(arrived.data(), ec);
+        arrived.consume(used);
+        bytes.append(buf.data(), buf.size() - m_parser->get().body().size);
+        if (ec == Http::error::need_more) {
+            return {};
+        }
+        if (ec && ec != Http::error::need_buffer) {
+            return ec;
+        }
+    }
+    return {};
+}
+
+Asio::awaitable<bool> TargetExchange::readSome(std::string &bytes)
+{
+    bytes.clear();
+    // Everything that has arrived is parsed before the next read, so that a busy stream is passed on in larger pieces.
+    boost::system::error_code ec = parseArrived(bytes);
+    while (!ec && bytes.empty() && !m_parser->is_done()) {
+        const auto [readError, n] = co_await m_connection->socket().async_read_some(m_connection->buffer().prepare(readSize),
+                                                                                    Asio::as_tuple(Asio::use_awaitable));
+        m_connection->buffer().commit(n);
+        ec = readError;
+        if (readError == Asio::error::eof) {
+            m_parser->put_eof(ec);
+        } else if (!readError) {
+            ec = parseArrived(bytes);
+        }
     }
     if (ec) {
         broken("the connection ended within the answer");
         co_return false;
     }
-    bytes.assign(buf.data(), buf.size() - m_parser->get().body().size);
     co_return true;
 }
 
@@ -247,12 +273,12 @@
             return true;
         }
         Reason reason;
-        std::optional<StreamEvent> event = wanted.dialect.event(it, reason);
+        std::optional<StreamEvent> event = wanted.dialect.event(it, wanted.call.attemptId, reason);
         if (!event || event->kind == StreamEvent::Kind::Failure) {
             m_result.detail = event ? event->text : reason.text;
             return false;
         }
-        if (event->attemptId != wanted.call.attemptId) {
+        if (!event->ownAttempt) {
             m_result.detail = "an event of the stream is for another attempt";
             return false;
         }
--- a/Source/Targets/TargetExchange.h
+++ b/Source/Targets/TargetExchange.h
@@ -51,6 +51,7 @@
     boost::asio::awaitable<bool> send(const Wanted &wanted);
     boost::asio::awaitable<void> readAnswer(const Wanted &wanted);
     boost::asio::awaitable<bool> readSome(std::string &bytes);
+    boost::system::error_code parseArrived(std::string &bytes);
     boost::asio::awaitable<void> readWhole(const Wanted &wanted);
     boost::asio::awaitable<void> readStream(const Wanted &wanted);
     bool takeEvents(const Wanted &wanted, const std::vector<std::string> &events, std::vector<Part> &parts, bool &ended);
--- a/Tests/FrontEnds/BadInputTest.cpp
+++ b/Tests/FrontEnds/BadInputTest.cpp
@@ -101,7 +101,8 @@
             Case{"wrong method", "GET /v1/desk/quote HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", 109},
             Case{"booking without a key", post("/v1/desk/book", mill, good), 111},
             Case{"key without its time", post("/v1/desk/book", mill + "Idempotency-Key: k\r\n", good), 111},
-            Case{"key too long", post("/v1/desk/book", mill + "Idempotency-Issued: 1\r\nIdempotency-Key: " + std::string(200, 'k') + "\r\n", good), 111},
+            Case{"key too long",
+                 post("/v1/desk/book", mill + "Idempotency-Issued: 1\r\nIdempotency-Key: " + std::string(200, 'k') + "\r\n", good), 111},
             Case{"unknown path", post("/v2/desk/quote", mill, good), 112},
         };
         Deployment deployment(shape());
@@ -156,7 +157,8 @@
         CPPUNIT_ASSERT(!client.put("status", "", {}, reason) && reason.code == ResultCode::MethodNotAllowed);
         CPPUNIT_ASSERT(!client.get("reports/weather", reason) && reason.code == ResultCode::UnknownPath);
         CPPUNIT_ASSERT(!client.put("configuration/teams/desk", "x: 1", {}, reason) && reason.code == ResultCode::PathInvalid);
-        CPPUNIT_ASSERT(!client.put("configuration/organisations/new", "weight: -1", {}, reason) && reason.code == ResultCode::SettingsInvalid);
+        CPPUNIT_ASSERT(!client.put("configuration/organisations/new", "weight: -1", {}, reason)
+                       && reason.code == ResultCode::SettingsInvalid);
     }
 
     void racingOperatorsHaveOneWinner()
@@ -169,7 +171,8 @@
         for (std::size_t it = 0; it < operators.size(); ++it) {
             operators[it] = std::thread([&, it] {
                 const AdministrationClient client(deployment.administration(it));
-                answers[it] = client.put("configuration/organisations/new", "weight: " + std::to_string(it + 1), {{"X-Expected-Version", "0"}}, reasons[it]);
+                answers[it] = client.put("configuration/organisations/new", "weight: " + std::to_string(it + 1),
+                                         {{"X-Expected-Version", "0"}}, reasons[it]);
             });
         }
         for (std::thread &it : operators) {
--- a/Tests/Tables/TargetTableTest.cpp
+++ b/Tests/Tables/TargetTableTest.cpp
@@ -1,6 +1,6 @@
+#include "Tables/TargetTable.h"
 #include "Decisions/StageDemand.h"
 #include "Settings/Configuration.h"
-#include "Tables/TargetTable.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -81,7 +81,8 @@
         m_table.release(*slot, AttemptEnd::Answered, m_now + seconds(2));
         slot = take();
         for (int it = 0; it < 2; ++it) {
-            CPPUNIT_ASSERT(std::holds_alternative<TargetTable::Ticket>(m_table.acquire("t/p", demand(seconds(60)), m_now, [](const Slot &) {})));
+            CPPUNIT_ASSERT(
+                std::holds_alternative<TargetTable::Ticket>(m_table.acquire("t/p", demand(seconds(60)), m_now, [](const Slot &) {})));
         }
         const TargetTable::Acquired hopeless = m_table.acquire("t/p", demand(seconds(3)), m_now, [](const Slot &) {});
         CPPUNIT_ASSERT(std::get<RefusalCause>(hopeless) == RefusalCause::Overloaded);
--- a/Tests/Targets/DialectTest.cpp
+++ b/Tests/Targets/DialectTest.cpp
@@ -44,11 +44,14 @@
     void doneWithoutATotalIsAFailure()
     {
         Reason reason;
-        const std::optional<StreamEvent> event = dialect("openai-generate")->event("[DONE]", reason);
+        const std::optional<StreamEvent> event = dialect("openai-generate")->event("[DONE]", "x", reason);
         CPPUNIT_ASSERT(event && event->kind == StreamEvent::Kind::Failure);
         const std::optional<StreamEvent> end
-            = dialect("openai-generate")->event(R"({"id":"x","usage":{"prompt_tokens":5,"total_position":7}})", reason);
-        CPPUNIT_ASSERT(end && end->kind == StreamEvent::Kind::End && end->position == 7 && end->promptTokens == 5);
+            = dialect("openai-generate")->event(R"({"id":"x","usage":{"prompt_tokens":5,"total_position":7}})", "x", reason);
+        CPPUNIT_ASSERT(end && end->kind == StreamEvent::Kind::End && end->position == 7 && end->promptTokens == 5 && end->ownAttempt);
+        const std::optional<StreamEvent> other
+            = dialect("openai-generate")->event(R"({"id":"y","position":0,"choices":[{"text":"a"}]})", "x", reason);
+        CPPUNIT_ASSERT(other && !other->ownAttempt);
     }
 
     void answersWithoutTheirFieldsAreRefused()
@@ -58,7 +61,7 @@
         CPPUNIT_ASSERT(reason.code == ResultCode::AnswerInvalid);
         CPPUNIT_ASSERT(!dialect("retrieval")->answer("[1]", reason));
         CPPUNIT_ASSERT(!dialect("service")->answer("{", reason));
-        CPPUNIT_ASSERT(!dialect("openai-generate")->event(R"({"id":"x"})", reason));
+        CPPUNIT_ASSERT(!dialect("openai-generate")->event(R"({"id":"x"})", "x", reason));
     }
 
     void eventsAreCutAtAnyByte()
