--- a/Source/Decisions/StageDemand.h
+++ b/Source/Decisions/StageDemand.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace Guavalock
 {
@@ -16,6 +17,7 @@
     bool urgent = false; ///< An interactive request, before those of other classes.
     bool suspect = false; ///< Was in flight when a target died.
     Clock::TimePoint deadline{};
+    std::vector<std::uint64_t> avoid; ///< Hashes of the names of targets that failed this stage before; taken only if no other has room.
 };
 
 } // namespace Guavalock
--- a/Source/Decisions/TargetState.cpp
+++ b/Source/Decisions/TargetState.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace Guavalock
 {
@@ -26,6 +27,15 @@
     return std::min<Clock::Duration>(wait, longestAvoidance);
 }
 
+constexpr double outcomeWeight = 0.2; ///< Of one call in the share of failed calls.
+constexpr double leastSuccess = 0.1;
+constexpr std::chrono::seconds failureHalfLife{2}; ///< A target that is avoided is forgiven with time.
+
+bool answersNothing(AttemptEnd end)
+{
+    return end == AttemptEnd::Failed || end == AttemptEnd::Invalid || end == AttemptEnd::Lost || end == AttemptEnd::TimedOut;
+}
+
 bool isFailure(AttemptEnd end)
 {
     return end == AttemptEnd::NotSent || end == AttemptEnd::Lost;
@@ -74,6 +84,7 @@
 {
     --m_outstanding;
     m_suspects -= suspect ? 1 : 0;
+    noteOutcome(answersNothing(end), now);
     if (end == AttemptEnd::Answered) {
         m_durations.observe(took);
         m_failures = 0;
@@ -85,6 +96,19 @@
     }
 }
 
+double TargetState::failureShare(Clock::TimePoint now) const
+{
+    const double lives = std::chrono::duration<double>(now - m_lastOutcome) / failureHalfLife;
+    return m_failureShare * std::exp2(-lives);
+}
+
+void TargetState::noteOutcome(bool failed, Clock::TimePoint now)
+{
+    const double share = failureShare(now);
+    m_failureShare = share + outcomeWeight * ((failed ? 1.0 : 0.0) - share);
+    m_lastOutcome = now;
+}
+
 void TargetState::probeFailed(Clock::TimePoint now)
 {
     becameUnknown(now);
@@ -158,11 +182,12 @@
     return m_outstanding + others;
 }
 
-Clock::Duration TargetState::predicted(std::size_t slots, Clock::Duration assumed) const
+Clock::Duration TargetState::predicted(std::size_t slots, Clock::Duration assumed, Clock::TimePoint now) const
 {
     const Clock::Duration mean = m_durations.known() ? m_durations.mean() : assumed;
     const double waves = static_cast<double>(load()) / static_cast<double>(std::max<std::size_t>(1, slots));
-    return std::chrono::duration_cast<Clock::Duration>(mean * (1.0 + waves));
+    const double success = std::max(leastSuccess, 1.0 - failureShare(now));
+    return std::chrono::duration_cast<Clock::Duration>(mean * (1.0 + waves) / success);
 }
 
 TargetState::Warmth TargetState::warmth() const
@@ -175,6 +200,11 @@
     return m_outstanding;
 }
 
+std::size_t TargetState::warmShare() const
+{
+    return m_warmShare;
+}
+
 bool TargetState::inService() const
 {
     return m_inService;
--- a/Source/Decisions/TargetState.h
+++ b/Source/Decisions/TargetState.h
@@ -57,11 +57,15 @@
     /// Returns whether it is time to ask the target for a report, given how long a report stays good.
     bool wantsProbe(Clock::TimePoint now, Clock::Duration reportLife) const;
 
-    /// Returns when a call that starts now would end: the mean duration, stretched by the load beyond the target's slots.
-    Clock::Duration predicted(std::size_t slots, Clock::Duration assumed) const;
+    /// Returns how long one more call would take until it is answered: the mean duration, stretched by the load and by the share of
+    /// calls that lately failed and have to be made again.
+    Clock::Duration predicted(std::size_t slots, Clock::Duration assumed, Clock::TimePoint now) const;
 
     Warmth warmth() const;
     std::size_t outstanding() const;
+
+    /// Returns what this daemon may use of the target's slots once it is warm and has risen.
+    std::size_t warmShare() const;
     bool inService() const;
     const DurationEstimate &durations() const;
     const LoadReport &report() const;
@@ -69,6 +73,8 @@
 
 private:
     void becameUnknown(Clock::TimePoint now);
+    void noteOutcome(bool failed, Clock::TimePoint now);
+    double failureShare(Clock::TimePoint now) const;
     std::size_t load() const;
     bool bearsOneMore(Clock::TimePoint now) const;
     bool settled(Clock::TimePoint now) const;
@@ -89,6 +95,8 @@
     std::size_t m_failures = 0; ///< In a row.
     Clock::TimePoint m_avoidUntil{};
     DurationEstimate m_durations;
+    double m_failureShare = 0; ///< Of the latest calls, at the time of the last.
+    Clock::TimePoint m_lastOutcome{};
 };
 
 } // namespace Guavalock
--- a/Source/Peer/FrameBuilder.cpp
+++ b/Source/Peer/FrameBuilder.cpp
@@ -58,7 +58,7 @@
                                                   stage.model.c_str(), stage.path.c_str(), stage.idempotencyKey.c_str(), stage.idempotent,
                                                   demand.organisation.c_str(), static_cast<std::uint32_t>(demand.weight), demand.affinity,
                                                   demand.urgent, demand.suspect, microseconds(demand.deadline - now), input.c_str(),
-                                                  stage.position, stage.textSoFar.c_str());
+                                                  stage.position, stage.textSoFar.c_str(), &demand.avoid);
     return finish(builder, Wire::Body::StageCall, body.Union());
 }
 
--- a/Source/Peer/FrameReader.cpp
+++ b/Source/Peer/FrameReader.cpp
@@ -77,6 +77,9 @@
     call.demand.urgent = wire.urgent();
     call.demand.suspect = wire.suspect();
     call.demand.deadline = now + boundedDuration(wire.remaining_us());
+    if (wire.avoid() != nullptr) {
+        call.demand.avoid.assign(wire.avoid()->begin(), wire.avoid()->end());
+    }
     call.input = std::move(*input);
     call.position = wire.position();
     call.textSoFar = text(wire.text_so_far());
--- a/Source/Peer/Generated/Peer_generated.h
+++ b/Source/Peer/Generated/Peer_generated.h
@@ -467,7 +467,8 @@
     VT_REMAINING_US = 30,
     VT_INPUT = 32,
     VT_POSITION = 34,
-    VT_TEXT_SO_FAR = 36
+    VT_TEXT_SO_FAR = 36,
+    VT_AVOID = 38
   };
   uint64_t call() const {
     return GetField<uint64_t>(VT_CALL, 0);
@@ -520,6 +521,9 @@
   const flatbuffers::String *text_so_far() const {
     return GetPointer<const flatbuffers::String *>(VT_TEXT_SO_FAR);
   }
+  const flatbuffers::Vector<uint64_t> *avoid() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_AVOID);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
@@ -548,6 +552,8 @@
            VerifyField<uint64_t>(verifier, VT_POSITION, 8) &&
            VerifyOffset(verifier, VT_TEXT_SO_FAR) &&
            verifier.VerifyString(text_so_far()) &&
+           VerifyOffset(verifier, VT_AVOID) &&
+           verifier.VerifyVector(avoid()) &&
            verifier.EndTable();
   }
 };
@@ -607,6 +613,9 @@
   void add_text_so_far(flatbuffers::Offset<flatbuffers::String> text_so_far) {
     fbb_.AddOffset(StageCall::VT_TEXT_SO_FAR, text_so_far);
   }
+  void add_avoid(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> avoid) {
+    fbb_.AddOffset(StageCall::VT_AVOID, avoid);
+  }
   explicit StageCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -636,12 +645,14 @@
     int64_t remaining_us = 0,
     flatbuffers::Offset<flatbuffers::String> input = 0,
     uint64_t position = 0,
-    flatbuffers::Offset<flatbuffers::String> text_so_far = 0) {
+    flatbuffers::Offset<flatbuffers::String> text_so_far = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> avoid = 0) {
   StageCallBuilder builder_(_fbb);
   builder_.add_position(position);
   builder_.add_remaining_us(remaining_us);
   builder_.add_affinity(affinity);
   builder_.add_call(call);
+  builder_.add_avoid(avoid);
   builder_.add_text_so_far(text_so_far);
   builder_.add_input(input);
   builder_.add_weight(weight);
@@ -681,7 +692,8 @@
     int64_t remaining_us = 0,
     const char *input = nullptr,
     uint64_t position = 0,
-    const char *text_so_far = nullptr) {
+    const char *text_so_far = nullptr,
+    const std::vector<uint64_t> *avoid = nullptr) {
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
   auto attempt_id__ = attempt_id ? _fbb.CreateString(attempt_id) : 0;
   auto pool__ = pool ? _fbb.CreateString(pool) : 0;
@@ -691,6 +703,7 @@
   auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
   auto input__ = input ? _fbb.CreateString(input) : 0;
   auto text_so_far__ = text_so_far ? _fbb.CreateString(text_so_far) : 0;
+  auto avoid__ = avoid ? _fbb.CreateVector<uint64_t>(*avoid) : 0;
   return Guavalock::Wire::CreateStageCall(
       _fbb,
       call,
@@ -709,7 +722,8 @@
       remaining_us,
       input__,
       position,
-      text_so_far__);
+      text_so_far__,
+      avoid__);
 }
 
 struct Cancel FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Source/Pipeline/SlotGate.cpp
+++ b/Source/Pipeline/SlotGate.cpp
@@ -17,22 +17,26 @@
 Asio::awaitable<std::variant<Slot, RefusalCause>> SlotGate::acquire(std::string pool, const StageDemand &demand, Cancellation &cancellation)
 {
     // A slot that is granted after the call gave up goes straight back.
-    auto late = [&targets = m_targets, &clock = m_clock](const Slot &slot) {
-        targets.release(slot, AttemptEnd::Withdrawn, clock.now());
+    auto late = [&targets = m_targets, &clock = m_clock](const TargetTable::Granted &granted) {
+        if (const Slot *slot = std::get_if<Slot>(&granted)) {
+            targets.release(*slot, AttemptEnd::Withdrawn, clock.now());
+        }
+    };
+    const auto waiting = std::make_shared<OneShot<TargetTable::Granted>>(cancellation.strand(), late);
+    auto grant = [waiting](TargetTable::Granted granted) {
+        waiting->set(std::move(granted));
     };
-    const auto granted = std::make_shared<OneShot<Slot>>(cancellation.strand(), late);
 
-    TargetTable::Acquired acquired
-        = m_targets.acquire(pool, demand, m_clock.now(), [granted](Slot slot) { granted->set(std::move(slot)); });
+    TargetTable::Acquired acquired = m_targets.acquire(pool, demand, m_clock.now(), grant);
     if (Slot *slot = std::get_if<Slot>(&acquired)) {
         co_return std::move(*slot);
     }
     if (const RefusalCause *cause = std::get_if<RefusalCause>(&acquired)) {
         co_return *cause;
     }
-    std::optional<Slot> slot = co_await granted->wait(demand.deadline, cancellation);
-    if (slot) {
-        co_return std::move(*slot);
+    std::optional<TargetTable::Granted> granted = co_await waiting->wait(demand.deadline, cancellation);
+    if (granted) {
+        co_return std::move(*granted);
     }
     m_targets.withdraw(pool, std::get<TargetTable::Ticket>(acquired));
     co_return cancellation.cause().value_or(RefusalCause::Overloaded);
--- a/Source/Pipeline/StageRunner.cpp
+++ b/Source/Pipeline/StageRunner.cpp
@@ -187,12 +187,15 @@
     return m_services.poison.standing(state.fingerprint, now) == PoisonTable::Standing::Quarantined;
 }
 
-StageCourse::Action StageRunner::afterFailure(const RequestState &state, const StageCall &call, const AttemptResult &result,
+StageCourse::Action StageRunner::afterFailure(const RequestState &state, StageCall &call, const AttemptResult &result,
                                               StageCourse &course) const
 {
     if (noteDeath(state, result)) {
         return {StageCourse::Step::Refuse, false, RefusalCause::Quarantined};
     }
+    if (!result.target.empty()) {
+        call.demand.avoid.push_back(Hash::of(result.target));
+    }
     const StageCourse::Attempt attempt{result.end, targetWasTried(result), result.cause};
     const StageCourse::Action action = course.after(attempt, m_services.targets.retryAllowed(call.pool), m_services.clock.now());
     if (action.spendsBudget) {
--- a/Source/Pipeline/StageRunner.h
+++ b/Source/Pipeline/StageRunner.h
@@ -47,8 +47,7 @@
     boost::asio::awaitable<void> pause(Cancellation &cancellation) const;
     bool complete(const Stage &stage, AttemptResult &result, const GenerationSink &sink) const;
     void renew(StageCall &call, const RequestState &state, std::size_t index, const StageCourse &course, const GenerationSink &sink) const;
-    StageCourse::Action afterFailure(const RequestState &state, const StageCall &call, const AttemptResult &result,
-                                     StageCourse &course) const;
+    StageCourse::Action afterFailure(const RequestState &state, StageCall &call, const AttemptResult &result, StageCourse &course) const;
     bool noteDeath(const RequestState &state, const AttemptResult &result) const;
 
     const Services &m_services;
--- a/Source/Policies/PoolView.h
+++ b/Source/Policies/PoolView.h
@@ -25,6 +25,9 @@
     /// Returns the predicted time to finish one more call.
     virtual Clock::Duration predicted(std::size_t index) const = 0;
 
+    /// Returns whether the target still has to answer calls before it takes its full load.
+    virtual bool warming(std::size_t index) const = 0;
+
     /// Returns a hash of the target's name, the same on every daemon.
     virtual std::uint64_t identity(std::size_t index) const = 0;
 };
--- a/Source/Scenario/ScenarioRequest.h
+++ b/Source/Scenario/ScenarioRequest.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Guavalock
 {
@@ -27,6 +28,7 @@
     std::size_t stage = 0;
     std::optional<StageCourse> course;
     RunTracker run;
+    std::vector<std::uint64_t> avoid; ///< Targets that failed the present stage.
     std::size_t runs = 0; ///< Calls that targets began for it.
     bool over = false;
     Clock::Duration busy{}; ///< Target time that its calls took.
--- a/Source/Scenario/ScenarioRun.cpp
+++ b/Source/Scenario/ScenarioRun.cpp
@@ -293,6 +293,7 @@
     StageDemand demand;
     demand.organisation = request->organisation;
     demand.urgent = true;
+    demand.avoid = request->avoid;
     demand.suspect = request->daemon->poison.suspect(request->fingerprint, m_events.now());
     demand.deadline = DeadlineBudget::stageEnd(stages, m_events.now(), request->deadline);
     return demand;
@@ -305,6 +306,7 @@
         giveUp(request, RefusalCause::DeadlineUnreachable);
         return;
     }
+    request->avoid.clear();
     request->course.emplace(m_settings.idempotent, attempts, m_events.now(), wanted.deadline);
     attempt(request);
 }
@@ -335,15 +337,13 @@
     const StageDemand wanted = demand(request);
     auto granted = std::make_shared<bool>(false);
     auto abandoned = std::make_shared<bool>(false);
-    TargetTable::Acquired acquired = daemon.targets.acquire(
-        pool, wanted, m_events.now(), [this, &daemon, request, granted, abandoned](Slot slot) {
-            *granted = true;
-            if (*abandoned) {
-                daemon.targets.release(slot, AttemptEnd::Withdrawn, m_events.now());
-                return;
-            }
-            m_events.after(Clock::Duration::zero(), [this, &daemon, request, slot = std::move(slot)] { dispatch(daemon, request, slot); });
+    auto grant = [this, &daemon, request, granted, abandoned](TargetTable::Granted outcome) {
+        *granted = true;
+        m_events.after(Clock::Duration::zero(), [this, &daemon, request, abandoned, outcome = std::move(outcome)] {
+            takeGrant(daemon, request, *abandoned, outcome);
         });
+    };
+    const TargetTable::Acquired acquired = daemon.targets.acquire(pool, wanted, m_events.now(), std::move(grant));
     if (const RefusalCause *refused = std::get_if<RefusalCause>(&acquired)) {
         cause = *refused;
         return false;
@@ -364,6 +364,18 @@
     return true;
 }
 
+void ScenarioRun::takeGrant(ScenarioDaemon &daemon, const RequestPtr &request, bool abandoned, const TargetTable::Granted &granted)
+{
+    const Slot *slot = std::get_if<Slot>(&granted);
+    if (slot == nullptr) {
+        ended(request, {AttemptEnd::NotSent, false, std::get<RefusalCause>(granted)});
+    } else if (abandoned) {
+        daemon.targets.release(*slot, AttemptEnd::Withdrawn, m_events.now());
+    } else {
+        dispatch(daemon, request, *slot);
+    }
+}
+
 void ScenarioRun::dispatch(ScenarioDaemon &daemon, const RequestPtr &request, const Slot &slot)
 {
     if (request->over) {
@@ -399,6 +411,9 @@
         return;
     }
     request->run.ended(end);
+    if (end != AttemptEnd::Answered) {
+        request->avoid.push_back(Hash::of(slot.target));
+    }
     if (end == AttemptEnd::Lost) {
         noteDeath(request, daemon, slot);
     }
--- a/Source/Scenario/ScenarioRun.h
+++ b/Source/Scenario/ScenarioRun.h
@@ -9,7 +9,7 @@
 #include "Scenario/ScenarioSettings.h"
 #include "Scenario/ScenarioTarget.h"
 #include "Settings/Configuration.h"
-#include "Tables/Slot.h"
+#include "Tables/TargetTable.h"
 
 #include <functional>
 #include <map>
@@ -60,6 +60,7 @@
     void beginStage(const RequestPtr &request);
     void attempt(const RequestPtr &request);
     bool tryAt(ScenarioDaemon &daemon, const RequestPtr &request, RefusalCause &cause);
+    void takeGrant(ScenarioDaemon &daemon, const RequestPtr &request, bool abandoned, const TargetTable::Granted &granted);
     void dispatch(ScenarioDaemon &daemon, const RequestPtr &request, const Slot &slot);
     void replied(ScenarioDaemon &daemon, const RequestPtr &request, const Slot &slot, const ScenarioTarget::Reply &reply);
     void ended(const RequestPtr &request, const StageCourse::Attempt &attempt);
--- a/Source/Tables/TargetPool.cpp
+++ b/Source/Tables/TargetPool.cpp
@@ -43,8 +43,13 @@
 std::optional<std::size_t> TargetPool::choose(const StageDemand &demand, Clock::TimePoint now, RandomEngine &random)
 {
     m_now = now;
-    m_suspect = demand.suspect;
-    const std::optional<std::size_t> index = m_policy->choose(*this, demand, random);
+    m_demand = &demand;
+    m_avoiding = !demand.avoid.empty();
+    std::optional<std::size_t> index = m_policy->choose(*this, demand, random);
+    if (!index && m_avoiding) {
+        m_avoiding = false;
+        index = m_policy->choose(*this, demand, random);
+    }
     if (index) {
         m_members[*index].state.dispatched(demand.suspect);
     }
@@ -116,7 +121,9 @@
 
 bool TargetPool::hasRoom(std::size_t index) const
 {
-    return m_members[index].state.hasRoom(m_suspect, m_now);
+    const Member &member = m_members[index];
+    const bool avoided = m_avoiding && std::ranges::find(m_demand->avoid, member.identity) != m_demand->avoid.end();
+    return !avoided && member.state.hasRoom(m_demand->suspect, m_now);
 }
 
 std::size_t TargetPool::outstanding(std::size_t index) const
@@ -127,7 +134,13 @@
 Clock::Duration TargetPool::predicted(std::size_t index) const
 {
     const Member &member = m_members[index];
-    return member.state.predicted(member.settings.slots, m_durations.low());
+    return member.state.predicted(member.settings.slots, m_durations.low(), m_now);
+}
+
+bool TargetPool::warming(std::size_t index) const
+{
+    const TargetState &state = m_members[index].state;
+    return state.warmth() != TargetState::Warmth::Warm || state.limit() < state.warmShare();
 }
 
 std::uint64_t TargetPool::identity(std::size_t index) const
--- a/Source/Tables/TargetPool.h
+++ b/Source/Tables/TargetPool.h
@@ -68,6 +68,7 @@
     bool hasRoom(std::size_t index) const override;
     std::size_t outstanding(std::size_t index) const override;
     Clock::Duration predicted(std::size_t index) const override;
+    bool warming(std::size_t index) const override;
     std::uint64_t identity(std::size_t index) const override;
 
 private:
@@ -78,7 +79,8 @@
     RetryBudget m_retryBudget;
     DurationEstimate m_durations;
     Clock::TimePoint m_now{}; ///< The time of the choice under way.
-    bool m_suspect = false; ///< Whether the call of the choice under way is a suspect.
+    const StageDemand *m_demand = nullptr; ///< Of the choice under way.
+    bool m_avoiding = false; ///< Whether targets that failed the stage before are passed over.
 };
 
 } // namespace Guavalock
--- a/Source/Tables/TargetTable.cpp
+++ b/Source/Tables/TargetTable.cpp
@@ -87,7 +87,7 @@
 
 void TargetTable::release(const Slot &slot, AttemptEnd end, Clock::TimePoint now)
 {
-    Granted granted;
+    HandOuts handOuts;
     {
         const std::scoped_lock lock(m_mutex);
         TargetPool &pool = *m_pools[slot.pool];
@@ -99,30 +99,42 @@
             pool.observe(took);
             pool.retryBudget().succeeded();
         }
-        serve(slot.pool, pool, now, granted);
+        serve(slot.pool, pool, now, handOuts);
     }
-    handOut(granted);
+    handOut(handOuts);
 }
 
-void TargetTable::serve(const std::string &name, TargetPool &pool, Clock::TimePoint now, Granted &granted)
+TargetTable::Grant TargetTable::takeGrant(Ticket ticket)
+{
+    Grant grant = std::move(m_grants[ticket]);
+    m_grants.erase(ticket);
+    return grant;
+}
+
+void TargetTable::serve(const std::string &name, TargetPool &pool, Clock::TimePoint now, HandOuts &handOuts)
 {
     while (const SlotQueue::Entry *entry = pool.queue().next()) {
+        const Ticket ticket = entry->ticket;
+        // A call that would end after its deadline only takes the slot from one that can still be answered.
+        if (now + pool.durations().mean() > entry->demand.deadline) {
+            pool.queue().withdraw(ticket);
+            handOuts.emplace_back(takeGrant(ticket), RefusalCause::Overloaded);
+            continue;
+        }
         const std::optional<std::size_t> index = pool.choose(entry->demand, now, m_random);
         if (!index) {
             return;
         }
-        const Ticket ticket = entry->ticket;
         const bool suspect = entry->demand.suspect;
         pool.queue().served(ticket);
-        granted.emplace_back(std::move(m_grants[ticket]), slotOf(name, pool, *index, suspect, now));
-        m_grants.erase(ticket);
+        handOuts.emplace_back(takeGrant(ticket), slotOf(name, pool, *index, suspect, now));
     }
 }
 
-void TargetTable::handOut(Granted &granted)
+void TargetTable::handOut(HandOuts &handOuts)
 {
-    for (auto &[grant, slot] : granted) {
-        grant(std::move(slot));
+    for (auto &[grant, granted] : handOuts) {
+        grant(std::move(granted));
     }
 }
 
@@ -142,7 +154,7 @@
 
 bool TargetTable::learned(const std::string &name, const std::string &target, const LoadReport &report, Clock::TimePoint now)
 {
-    Granted granted;
+    HandOuts handOuts;
     bool changed = false;
     {
         const std::scoped_lock lock(m_mutex);
@@ -156,10 +168,10 @@
         member->state.reported(report, now);
         changed = before != member->state.warmth() || incarnation != report.incarnation;
         if (changed) {
-            serve(name, *it->second, now, granted);
+            serve(name, *it->second, now, handOuts);
         }
     }
-    handOut(granted);
+    handOut(handOuts);
     return changed;
 }
 
@@ -191,14 +203,14 @@
 
 void TargetTable::serveWaiting(Clock::TimePoint now)
 {
-    Granted granted;
+    HandOuts handOuts;
     {
         const std::scoped_lock lock(m_mutex);
         for (auto &[name, pool] : m_pools) {
-            serve(name, *pool, now, granted);
+            serve(name, *pool, now, handOuts);
         }
     }
-    handOut(granted);
+    handOut(handOuts);
 }
 
 bool TargetTable::retryAllowed(const std::string &name) const
--- a/Source/Tables/TargetTable.h
+++ b/Source/Tables/TargetTable.h
@@ -29,8 +29,11 @@
 public:
     using Ticket = SlotQueue::Ticket;
 
-    /// Hands a slot to a call that waited. Called without the table's lock.
-    using Grant = std::function<void(Slot)>;
+    /// What a call that waited gets: a slot, or why it waits no longer.
+    using Granted = std::variant<Slot, RefusalCause>;
+
+    /// Hands a slot or a refusal to a call that waited. Called without the table's lock.
+    using Grant = std::function<void(Granted)>;
 
     /// A slot at once, a ticket in the queue, or why there will be neither.
     using Acquired = std::variant<Slot, Ticket, RefusalCause>;
@@ -101,11 +104,12 @@
     std::vector<Row> rows() const;
 
 private:
-    using Granted = std::vector<std::pair<Grant, Slot>>;
+    using HandOuts = std::vector<std::pair<Grant, Granted>>;
 
     Slot slotOf(const std::string &name, TargetPool &pool, std::size_t index, bool suspect, Clock::TimePoint now) const;
-    void serve(const std::string &name, TargetPool &pool, Clock::TimePoint now, Granted &granted);
-    static void handOut(Granted &granted);
+    void serve(const std::string &name, TargetPool &pool, Clock::TimePoint now, HandOuts &handOuts);
+    Grant takeGrant(Ticket ticket);
+    static void handOut(HandOuts &handOuts);
 
     TargetPool::Place m_place;
     Observer m_observer;
--- a/Tests/Tables/TargetTableTest.cpp
+++ b/Tests/Tables/TargetTableTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(freedSlotsGoToThoseWhoWait);
     CPPUNIT_TEST(withdrawnTicketsGetNothing);
     CPPUNIT_TEST(hopelessWaitsAreRefusedAtOnce);
+    CPPUNIT_TEST(waitsThatBecomeHopelessAreEnded);
     CPPUNIT_TEST(targetsOutOfServiceAreNamedSo);
     CPPUNIT_TEST(knownTargetsKeepTheirStateOverChanges);
     CPPUNIT_TEST(predictedFinishAvoidsTheSlowTarget);
@@ -56,7 +57,7 @@
         const std::optional<Slot> first = take();
         CPPUNIT_ASSERT(first);
         std::optional<Slot> granted;
-        CPPUNIT_ASSERT(!take([&](Slot it) { granted = std::move(it); }));
+        CPPUNIT_ASSERT(!take([&](TargetTable::Granted it) { granted = std::get<Slot>(std::move(it)); }));
         CPPUNIT_ASSERT(!granted);
         m_table.release(*first, AttemptEnd::Answered, m_now + milliseconds(10));
         CPPUNIT_ASSERT(granted && granted->target == "a");
@@ -67,7 +68,8 @@
         addTarget("a", 1);
         const std::optional<Slot> first = take();
         bool granted = false;
-        const TargetTable::Acquired acquired = m_table.acquire("t/p", demand(), m_now, [&](const Slot &) { granted = true; });
+        const TargetTable::Acquired acquired
+            = m_table.acquire("t/p", demand(), m_now, [&](const TargetTable::Granted &) { granted = true; });
         CPPUNIT_ASSERT(m_table.withdraw("t/p", std::get<TargetTable::Ticket>(acquired)));
         m_table.release(*first, AttemptEnd::Answered, m_now + milliseconds(10));
         CPPUNIT_ASSERT(!granted);
@@ -81,13 +83,27 @@
         m_table.release(*slot, AttemptEnd::Answered, m_now + seconds(2));
         slot = take();
         for (int it = 0; it < 2; ++it) {
-            CPPUNIT_ASSERT(
-                std::holds_alternative<TargetTable::Ticket>(m_table.acquire("t/p", demand(seconds(60)), m_now, [](const Slot &) {})));
+            CPPUNIT_ASSERT(std::holds_alternative<TargetTable::Ticket>(
+                m_table.acquire("t/p", demand(seconds(60)), m_now, [](const TargetTable::Granted &) {})));
         }
-        const TargetTable::Acquired hopeless = m_table.acquire("t/p", demand(seconds(3)), m_now, [](const Slot &) {});
+        const TargetTable::Acquired hopeless = m_table.acquire("t/p", demand(seconds(3)), m_now, [](const TargetTable::Granted &) {});
         CPPUNIT_ASSERT(std::get<RefusalCause>(hopeless) == RefusalCause::Overloaded);
     }
 
+    void waitsThatBecomeHopelessAreEnded()
+    {
+        addTarget("a", 1);
+        std::optional<Slot> slot = take();
+        m_table.release(*slot, AttemptEnd::Answered, m_now + seconds(1));
+        slot = take();
+        std::optional<TargetTable::Granted> got;
+        const TargetTable::Acquired acquired
+            = m_table.acquire("t/p", demand(seconds(3)), m_now, [&](TargetTable::Granted it) { got = std::move(it); });
+        CPPUNIT_ASSERT(std::holds_alternative<TargetTable::Ticket>(acquired));
+        m_table.release(*slot, AttemptEnd::Answered, m_now + milliseconds(2'500));
+        CPPUNIT_ASSERT(got && std::get<RefusalCause>(*got) == RefusalCause::Overloaded);
+    }
+
     void targetsOutOfServiceAreNamedSo()
     {
         addTarget("a", 1);
