Show that no scenario check is blind; join logic that stood twice

Each of five rules can be broken on purpose in a scenario, and a test checks that its violation is then told: cold shares, out of service, run once, not run, quarantine.

--- a/Fakes/FakeTarget.cpp
+++ b/Fakes/FakeTarget.cpp
@@ -1,6 +1,7 @@
 #include "FakeTarget.h"
 
 #include "FakeAnswers.h"
+#include "Flow/JsonText.h"
 #include "Targets/LoadHeader.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -30,28 +31,16 @@
 constexpr std::size_t slowFactor = 10;
 constexpr const char *poison = "POISON";
 
-std::string text(const boost::json::object &object, const char *name)
-{
-    const boost::json::value *it = object.if_contains(name);
-    return it != nullptr && it->is_string() ? std::string(it->get_string()) : std::string();
-}
-
-std::size_t count(const boost::json::object &object, const char *name, std::size_t fallback)
-{
-    const boost::json::value *it = object.if_contains(name);
-    return it != nullptr && it->is_int64() ? static_cast<std::size_t>(it->get_int64()) : fallback;
-}
-
 std::string rerankBody(const boost::json::object &body)
 {
-    const std::string query = text(body, "query");
+    const std::string query = std::string(JsonText::text(body, "query"));
     std::vector<std::pair<double, std::size_t>> ranks;
     const boost::json::array &documents = body.at("documents").as_array();
     for (std::size_t it = 0; it < documents.size(); ++it) {
         ranks.emplace_back(FakeAnswers::score(query, std::string(documents[it].get_string())), it);
     }
     std::ranges::stable_sort(ranks, std::ranges::greater(), &std::pair<double, std::size_t>::first);
-    ranks.resize(std::min(ranks.size(), count(body, "top_n", ranks.size())));
+    ranks.resize(std::min(ranks.size(), JsonText::number(body, "top_n", ranks.size())));
     boost::json::array results;
     for (const auto &[score, index] : ranks) {
         results.push_back(boost::json::object{{"index", index}, {"relevance_score", score}});
@@ -256,14 +245,15 @@
 std::string FakeTarget::bodyFor(const boost::json::object &body) const
 {
     if (m_settings.kind == "embed") {
-        const boost::json::object item{{"embedding", FakeAnswers::embedding(text(body, "input"))}, {"index", 0}};
+        const boost::json::object item{{"embedding", FakeAnswers::embedding(std::string(JsonText::text(body, "input")))}, {"index", 0}};
         return boost::json::serialize(boost::json::object{{"data", boost::json::array{item}}});
     }
     if (m_settings.kind == "rerank") {
         return rerankBody(body);
     }
     if (m_settings.kind == "retrieve") {
-        const boost::json::array documents = FakeAnswers::documents(text(body, "query"), count(body, "top_k", 1));
+        const boost::json::array documents
+            = FakeAnswers::documents(std::string(JsonText::text(body, "query")), JsonText::number(body, "top_k", 1));
         return boost::json::serialize(boost::json::object{{"documents", documents}});
     }
     return boost::json::serialize(FakeAnswers::serviceResult(body));
@@ -306,10 +296,10 @@
 
 Asio::awaitable<bool> FakeTarget::sendStream(Socket &socket, const std::string &attemptId, boost::json::object body, Stay &stay)
 {
-    const std::string prompt = text(body, "prompt");
-    const std::size_t total = FakeAnswers::tokenCount(prompt, count(body, "max_tokens", 1));
+    const std::string prompt = std::string(JsonText::text(body, "prompt"));
+    const std::size_t total = FakeAnswers::tokenCount(prompt, JsonText::number(body, "max_tokens", 1));
     const boost::json::value *resume = body.if_contains("resume");
-    const std::size_t from = resume != nullptr ? count(resume->as_object(), "position", 0) : 0;
+    const std::size_t from = resume != nullptr ? JsonText::number(resume->as_object(), "position", 0) : 0;
     const std::string otherId = std::exchange(m_lastStreamId, attemptId);
     const bool crossed = chance(m_settings.faults.crossEvents) && !otherId.empty();
     const bool cut = chance(m_settings.faults.truncate);
--- a/Fakes/LoadDriver.cpp
+++ b/Fakes/LoadDriver.cpp
@@ -2,9 +2,9 @@
 
 #include "Decisions/Hash.h"
 #include "FakeAnswers.h"
+#include "Flow/JsonText.h"
 #include "LoadCaller.h"
 #include "Net/HttpCaller.h"
-#include "Targets/JsonText.h"
 #include "Targets/SseReader.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -31,18 +31,6 @@
 constexpr std::size_t quoteTokens = 24;
 constexpr std::chrono::milliseconds healthInterval{100};
 
-std::string text(const boost::json::object &object, const char *name)
-{
-    const boost::json::value *it = object.if_contains(name);
-    return it != nullptr && it->is_string() ? std::string(it->get_string()) : std::string();
-}
-
-std::size_t number(const boost::json::object &object, const char *name)
-{
-    const boost::json::value *it = object.if_contains(name);
-    return it != nullptr && it->is_int64() ? static_cast<std::size_t>(it->get_int64()) : 0;
-}
-
 std::int64_t nowMilliseconds()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -139,7 +127,8 @@
             request.headers.emplace_back("Idempotency-Key", key);
             request.headers.emplace_back("Idempotency-Issued", issued);
             const LoadCaller::Answer answer = co_await exchange(std::move(request));
-            const std::string receipt = text(FakeAnswers::serviceResult(body), "receipt");
+            const boost::json::object result = FakeAnswers::serviceResult(body);
+            const std::string receipt(JsonText::text(result, "receipt"));
             const Outcome outcome = check(answer, key, receipt);
             {
                 const std::scoped_lock lock(m_driver.m_tally.mutex);
@@ -175,7 +164,7 @@
             return refused(*body, name);
         }
         const boost::json::value *result = body->if_contains("result");
-        const std::string got = result != nullptr ? text(result->as_object(), "receipt") : text(*body, "text");
+        const std::string got(result != nullptr ? JsonText::text(result->as_object(), "receipt") : JsonText::text(*body, "text"));
         if (got != expected) {
             tally.violations.push_back(name + ": got '" + got + "' in place of '" + expected + "'");
             return Outcome::None;
@@ -196,8 +185,8 @@
             Reason reason;
             last = JsonText::object(it, ResultCode::MalformedRequest, reason).value_or(boost::json::object());
             if (last.contains("position")) {
-                good = good && number(last, "position") == tokens++;
-                got += text(last, "text");
+                good = good && JsonText::number(last, "position") == tokens++;
+                got += JsonText::text(last, "text");
             }
         }
         if (last.contains("code")) {
@@ -206,8 +195,8 @@
             }
             return refused(last, name);
         }
-        const bool whole
-            = good && got == expected && number(last, "tokens") == tokens && text(last, "checksum") == Hash::hex(Hash::of(got));
+        const bool whole = good && got == expected && JsonText::number(last, "tokens") == tokens
+            && JsonText::text(last, "checksum") == Hash::hex(Hash::of(got));
         if (!whole) {
             tally.violations.push_back(name + ": the stream is not whole: '" + got + "' in place of '" + expected + "'");
             return Outcome::None;
@@ -220,12 +209,12 @@
     Outcome refused(const boost::json::object &refusal, const std::string &name)
     {
         LoadTally &tally = m_driver.m_tally;
-        const std::size_t code = number(refusal, "code");
-        const std::string run = text(refusal, "run");
+        const std::size_t code = JsonText::number(refusal, "code");
+        const std::string_view run = JsonText::text(refusal, "run");
         ++tally.refused[static_cast<unsigned>(code)];
         tally.history[name] += boost::json::serialize(refusal) + " ";
-        if (run == "no" && !text(refusal, "request_id").empty()) {
-            tally.notRun.push_back(text(refusal, "request_id"));
+        if (run == "no" && !JsonText::text(refusal, "request_id").empty()) {
+            tally.notRun.emplace_back(JsonText::text(refusal, "request_id"));
         }
         const bool family = code / 100 != 2 || run == "no" || code == 207;
         if (code == 0 || run.empty() || !family) {
--- a/Source/FrontEnds/CallerRequest.cpp
+++ b/Source/FrontEnds/CallerRequest.cpp
@@ -1,8 +1,8 @@
 #include "FrontEnds/CallerRequest.h"
 
 #include "Decisions/Hash.h"
+#include "Flow/JsonText.h"
 #include "FrontEnds/HttpExchange.h"
-#include "Targets/JsonText.h"
 
 #include <boost/json/value.hpp>
 
--- a/Source/FrontEnds/HttpServer.h
+++ b/Source/FrontEnds/HttpServer.h
@@ -1,10 +1,8 @@
 #pragma once
 
-#include "Settings/Endpoint.h"
+#include "Net/Acceptor.h"
 
-#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/ip/tcp.hpp>
 
 #include <atomic>
 #include <cstddef>
@@ -20,7 +18,7 @@
 class HttpServer
 {
 public:
-    HttpServer(const Services &services, Endpoint endpoint, HttpHandler &handler);
+    HttpServer(const Services &services, const Endpoint &endpoint, HttpHandler &handler);
 
     /// Listens and starts to accept. Throws boost::system::system_error when the address cannot be had.
     void start();
@@ -33,14 +31,12 @@
     std::size_t connections() const;
 
 private:
-    boost::asio::awaitable<void> accept();
-    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+    void accepted(Acceptor::Socket socket);
+    boost::asio::awaitable<void> serve(Acceptor::Socket socket);
 
     const Services &m_services;
-    Endpoint m_endpoint;
     HttpHandler &m_handler;
-    boost::asio::any_io_executor m_strand;
-    boost::asio::ip::tcp::acceptor m_acceptor;
+    Acceptor m_acceptor;
     std::atomic<std::size_t> m_connections{0};
     std::atomic<bool> m_closing{false};
     Counter &m_refused;
--- a/Source/Peer/FrameReader.cpp
+++ b/Source/Peer/FrameReader.cpp
@@ -1,6 +1,6 @@
 #include "Peer/FrameReader.h"
 
-#include "Targets/JsonText.h"
+#include "Flow/JsonText.h"
 
 #include <Peer_generated.h>
 
--- a/Source/Peer/PeerNetwork.cpp
+++ b/Source/Peer/PeerNetwork.cpp
@@ -17,7 +17,6 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -69,7 +68,7 @@
     , m_members(members)
     , m_configuration(configuration)
     , m_strand(Asio::make_strand(services.executor))
-    , m_acceptor(m_strand)
+    , m_acceptor(services.executor, services.settings.peerListen, [this](Acceptor::Socket socket) { accepted(std::move(socket)); })
     , m_local(std::make_unique<CountingRoute>(local))
     , m_bytes(services.metrics.counter("peer_control_bytes_total"))
     , m_events(sessionEvents())
@@ -123,13 +122,7 @@
 
 void PeerNetwork::start()
 {
-    const Endpoint &listen = m_services.settings.peerListen;
-    const Asio::ip::tcp::endpoint local(Asio::ip::make_address(listen.address), listen.port);
-    m_acceptor.open(local.protocol());
-    m_acceptor.set_option(Asio::socket_base::reuse_address(true));
-    m_acceptor.bind(local);
-    m_acceptor.listen();
-    Asio::co_spawn(m_strand, accept(), Asio::detached);
+    m_acceptor.start();
     Asio::co_spawn(m_strand, beat(), Asio::detached);
     for (auto &[vm, link] : m_links) {
         link->start();
@@ -147,10 +140,7 @@
 
 void PeerNetwork::stop()
 {
-    Asio::post(m_strand, [this] {
-        boost::system::error_code ignored;
-        m_acceptor.close(ignored);
-    });
+    m_acceptor.stop();
 }
 
 std::size_t PeerNetwork::callsInProgress() const
@@ -158,23 +148,13 @@
     return m_local->inProgress();
 }
 
-Asio::awaitable<void> PeerNetwork::accept()
+void PeerNetwork::accepted(Acceptor::Socket socket)
 {
-    while (m_acceptor.is_open()) {
-        Asio::ip::tcp::socket socket(Asio::make_strand(m_services.executor));
-        const auto [ec] = co_await m_acceptor.async_accept(socket, Asio::as_tuple(Asio::use_awaitable));
-        if (ec == Asio::error::operation_aborted) {
-            co_return;
-        }
-        if (ec) {
-            continue;
-        }
-        const Asio::any_io_executor strand = socket.get_executor();
-        const auto channel = std::make_shared<FrameChannel>(std::move(socket));
-        const auto session = std::make_shared<PeerSession>(m_services, *m_local, channel, m_events);
-        Asio::co_spawn(
-            strand, [session] { return session->run(); }, Asio::detached);
-    }
+    const Asio::any_io_executor strand = socket.get_executor();
+    const auto channel = std::make_shared<FrameChannel>(std::move(socket));
+    const auto session = std::make_shared<PeerSession>(m_services, *m_local, channel, m_events);
+    Asio::co_spawn(
+        strand, [session] { return session->run(); }, Asio::detached);
 }
 
 std::set<std::string> PeerNetwork::usablePools() const
--- a/Source/Peer/PeerNetwork.h
+++ b/Source/Peer/PeerNetwork.h
@@ -2,10 +2,10 @@
 
 #include "Decisions/RandomEngine.h"
 #include "Flow/AttemptRoute.h"
+#include "Net/Acceptor.h"
 #include "Peer/PeerSession.h"
 
 #include <boost/asio/any_io_executor.hpp>
-#include <boost/asio/ip/tcp.hpp>
 
 #include <atomic>
 #include <map>
@@ -61,7 +61,7 @@
     void heard(const std::string &vm, const MemberTable::Heard &heard);
     MemberTable::Heard ownState();
     std::set<std::string> usablePools() const;
-    boost::asio::awaitable<void> accept();
+    void accepted(Acceptor::Socket socket);
     boost::asio::awaitable<void> beat();
     std::vector<PeerLink *> candidates(const StageCall &call);
 
@@ -69,7 +69,7 @@
     MemberTable &m_members;
     ConfigurationService &m_configuration;
     boost::asio::any_io_executor m_strand;
-    boost::asio::ip::tcp::acceptor m_acceptor;
+    Acceptor m_acceptor;
     std::unique_ptr<CountingRoute> m_local;
     Counter &m_bytes; ///< Of control frames to all peers, without TCP's own.
     PeerSession::Events m_events;
--- a/Source/Platform/HttpPlatformLog.cpp
+++ b/Source/Platform/HttpPlatformLog.cpp
@@ -1,7 +1,7 @@
+#include "Flow/JsonText.h"
 #include "Kernel/Registration.h"
 #include "Net/HttpCaller.h"
 #include "Platform/PlatformLog.h"
-#include "Targets/JsonText.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/json/array.hpp>
@@ -20,25 +20,13 @@
 constexpr unsigned statusOk = 200;
 constexpr unsigned firstClientError = 400;
 
-std::uint64_t number(const boost::json::object &object, const char *name)
-{
-    const boost::json::value *value = object.if_contains(name);
-    return value != nullptr && value->is_int64() ? static_cast<std::uint64_t>(value->get_int64()) : 0;
-}
-
-std::string text(const boost::json::object &object, const char *name)
-{
-    const boost::json::value *value = object.if_contains(name);
-    return value != nullptr && value->is_string() ? std::string(value->get_string()) : std::string();
-}
-
 PlatformLog::Record readRecord(const boost::json::object &object)
 {
     PlatformLog::Record record;
-    record.offset = number(object, "offset");
-    record.time = Clock::WallTime(std::chrono::milliseconds(number(object, "time_ms")));
-    record.id = text(object, "id");
-    record.data = text(object, "data");
+    record.offset = JsonText::number(object, "offset");
+    record.time = Clock::WallTime(std::chrono::milliseconds(JsonText::number(object, "time_ms")));
+    record.id = JsonText::text(object, "id");
+    record.data = JsonText::text(object, "data");
     return record;
 }
 
@@ -91,8 +79,8 @@
             return std::nullopt;
         }
         Batch batch;
-        batch.next = number(*object, "next");
-        batch.oldest = number(*object, "oldest");
+        batch.next = JsonText::number(*object, "next");
+        batch.oldest = JsonText::number(*object, "oldest");
         for (const boost::json::value &it : object->at("records").get_array()) {
             if (it.is_object()) {
                 batch.records.push_back(readRecord(it.get_object()));
--- a/Source/Platform/LogRecords.cpp
+++ b/Source/Platform/LogRecords.cpp
@@ -1,6 +1,6 @@
 #include "Platform/LogRecords.h"
 
-#include "Targets/JsonText.h"
+#include "Flow/JsonText.h"
 
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
@@ -14,6 +14,7 @@
 constexpr const char *configurationKind = "configuration";
 constexpr const char *claimKind = "claim";
 constexpr const char *releaseKind = "release";
+constexpr std::uint64_t latestIssue = 7'258'118'400'000; ///< Milliseconds since 1970 at the year 2200; more would overflow.
 
 std::optional<boost::json::object> objectOfKind(const std::string &data, const char *kind)
 {
@@ -26,18 +27,6 @@
     return object;
 }
 
-std::string text(const boost::json::object &object, const char *name)
-{
-    const boost::json::value *value = object.if_contains(name);
-    return value != nullptr && value->is_string() ? std::string(value->get_string()) : std::string();
-}
-
-std::int64_t number(const boost::json::object &object, const char *name)
-{
-    const boost::json::value *value = object.if_contains(name);
-    return value != nullptr && value->is_int64() ? value->get_int64() : 0;
-}
-
 } // namespace
 
 std::string LogRecords::write(const ConfigurationRecord &record)
@@ -70,11 +59,11 @@
     }
     ConfigurationRecord record;
     record.id = id;
-    record.path = text(*object, "path");
-    record.expectedVersion = static_cast<std::uint64_t>(number(*object, "expected"));
-    record.author = text(*object, "author");
+    record.path = JsonText::text(*object, "path");
+    record.expectedVersion = JsonText::number(*object, "expected");
+    record.author = JsonText::text(*object, "author");
     if (object->contains("value")) {
-        record.value = text(*object, "value");
+        record.value = std::string(JsonText::text(*object, "value"));
     }
     return record;
 }
@@ -85,8 +74,9 @@
     if (!object) {
         return std::nullopt;
     }
-    const std::chrono::milliseconds issued(number(*object, "issued_ms"));
-    return ClaimLedger::Claim{id, text(*object, "key"), text(*object, "claimant"), Clock::WallTime(issued)};
+    const std::chrono::milliseconds issued(std::min(JsonText::number(*object, "issued_ms"), latestIssue));
+    return ClaimLedger::Claim{id, std::string(JsonText::text(*object, "key")), std::string(JsonText::text(*object, "claimant")),
+                              Clock::WallTime(issued)};
 }
 
 std::optional<LogRecords::Release> LogRecords::release(const std::string &data)
@@ -95,7 +85,7 @@
     if (!object) {
         return std::nullopt;
     }
-    return Release{text(*object, "key"), text(*object, "claim")};
+    return Release{std::string(JsonText::text(*object, "key")), std::string(JsonText::text(*object, "claim"))};
 }
 
 } // namespace Guavalock
--- a/Source/Scenario/ScenarioRun.h
+++ b/Source/Scenario/ScenarioRun.h
@@ -1,14 +1,12 @@
 #pragma once
 
-#include "Decisions/RandomEngine.h"
 #include "Decisions/RefusalCause.h"
 #include "Decisions/StageCourse.h"
 #include "Decisions/StageDemand.h"
-#include "Scenario/EventQueue.h"
-#include "Scenario/ScenarioOutcome.h"
+#include "Scenario/ScenarioFaults.h"
 #include "Scenario/ScenarioSettings.h"
 #include "Scenario/ScenarioTarget.h"
-#include "Settings/Configuration.h"
+#include "Scenario/ScenarioWorld.h"
 #include "Tables/TargetTable.h"
 
 #include <functional>
@@ -34,23 +32,10 @@
 
     ScenarioOutcome run();
 
-    static std::vector<std::string> faultKinds();
-
 private:
     using RequestPtr = std::shared_ptr<ScenarioRequest>;
-    using Strike = void (ScenarioRun::*)(const ScenarioFault &);
-
-    struct FaultRow {
-        const char *kind;
-        Strike strike;
-    };
-
-    static const std::vector<FaultRow> &faultRows();
 
     void build();
-    void adoptEverywhere();
-    void schedule(const ScenarioFault &fault);
-    ScenarioFault randomFault();
     void scheduleArrival();
     void arrive();
     void sendAgain(const RequestPtr &first, std::size_t times);
@@ -69,38 +54,17 @@
     StageDemand demand(const RequestPtr &request) const;
 
     void probeLoop(ScenarioDaemon &daemon);
+
     /// A report made in a cold epoch of its target reaches a daemon.
     void sign(ScenarioDaemon &daemon, const std::string &pool, const std::string &target, const LoadReport &report, std::uint64_t epoch);
 
-    void strikeCrash(const ScenarioFault &fault);
-    void strikeCold(const ScenarioFault &fault);
-    void strikeSlow(const ScenarioFault &fault);
-    void strikeLose(const ScenarioFault &fault);
-    void strikeFail(const ScenarioFault &fault);
-    void strikeTargetOut(const ScenarioFault &fault);
-    void strikeTargetIn(const ScenarioFault &fault);
-    void strikeCentreOut(const ScenarioFault &fault);
-    void strikeCentreIn(const ScenarioFault &fault);
-    void strikeBurst(const ScenarioFault &fault);
-    void strikeKillDaemon(const ScenarioFault &fault);
-    void strikeCut(const ScenarioFault &fault);
-
-    ScenarioTarget &target(const std::string &name);
-    void trace(const std::string &text);
+    void noteRuns(const RequestPtr &request);
 
-    const ScenarioSettings &m_settings;
-    std::ostream *m_trace;
-    EventQueue m_events;
-    RandomEngine m_random;
-    ScenarioOutcome m_outcome;
-    Configuration m_configuration;
-    std::map<std::string, std::unique_ptr<ScenarioTarget>> m_targets;
-    std::vector<std::unique_ptr<ScenarioDaemon>> m_daemons;
-    std::map<std::string, Clock::TimePoint> m_outSince; ///< By target or data centre.
+    ScenarioWorld m_world;
+    ScenarioFaults m_faults;
     std::map<std::string, std::pair<double, double>> m_byOrganisation; ///< Requests and answers.
     std::vector<double> m_refusalTimes;
     std::uint64_t m_requests = 0;
-    double m_rateFactor = 1;
     Clock::TimePoint m_end;
 };
 
--- a/Source/Scenario/ScenarioSettings.cpp
+++ b/Source/Scenario/ScenarioSettings.cpp
@@ -1,7 +1,8 @@
 #include "Scenario/ScenarioSettings.h"
 
+#include "Scenario/ScenarioFaults.h"
 #include "Scenario/ScenarioOutcome.h"
-#include "Scenario/ScenarioRun.h"
+#include "Scenario/ScenarioWorld.h"
 #include "Settings/FieldTable.h"
 
 namespace Guavalock
@@ -26,6 +27,16 @@
     };
 }
 
+std::optional<std::string> knownRules(const std::vector<std::string> &list)
+{
+    for (const std::string &it : list) {
+        if (const std::optional<std::string> expected = oneOf(ScenarioWorld::rules())(it)) {
+            return expected;
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 const FieldTable<ScenarioCentre> &ScenarioCentre::fields()
@@ -74,7 +85,7 @@
     static const FieldTable<ScenarioFault> table = [] {
         FieldTable<ScenarioFault> it;
         it.required("at", &ScenarioFault::at, "when it happens, as in 5s");
-        it.required("kind", &ScenarioFault::kind, "what happens", oneOf(ScenarioRun::faultKinds()));
+        it.required("kind", &ScenarioFault::kind, "what happens", oneOf(ScenarioFaults::faultKinds()));
         it.optional("name", &ScenarioFault::name);
         it.optional("for", &ScenarioFault::length, between(milliseconds(1), milliseconds(600'000)));
         return it;
@@ -109,6 +120,7 @@
         it.optional("load", &ScenarioSettings::load);
         it.optional("faults", &ScenarioSettings::faults);
         it.optional("random_faults", &ScenarioSettings::randomFaults, between<std::size_t>(0, 1'000));
+        it.optional("breaks", &ScenarioSettings::breaks, SettingsCheck<std::vector<std::string>>(knownRules));
         it.optional("expect", &ScenarioSettings::expect);
         return it;
     }();
--- a/Source/Scenario/ScenarioSettings.h
+++ b/Source/Scenario/ScenarioSettings.h
@@ -28,6 +28,7 @@
     ScenarioLoad load;
     std::vector<ScenarioFault> faults;
     std::size_t randomFaults = 0; ///< Further faults of targets, drawn from the seed.
+    std::vector<std::string> breaks; ///< Rules that are broken on purpose, to show that a check sees it.
     std::vector<ScenarioExpectation> expect;
 
     static const FieldTable<ScenarioSettings> &fields();
--- a/Source/Targets/OpenAiGenerateDialect.cpp
+++ b/Source/Targets/OpenAiGenerateDialect.cpp
@@ -1,3 +1,4 @@
+#include "Flow/JsonText.h"
 #include "Kernel/Registration.h"
 #include "Targets/StreamEvent.h"
 #include "Targets/TargetCall.h"
@@ -22,23 +23,11 @@
 constexpr int urgentPriority = 0;
 constexpr int ordinaryPriority = 10;
 
-std::size_t number(const boost::json::object &object, const char *name)
-{
-    const boost::json::value *value = object.if_contains(name);
-    return value != nullptr && value->is_int64() && value->get_int64() >= 0 ? static_cast<std::size_t>(value->get_int64()) : 0;
-}
-
-std::string_view text(const boost::json::object &object, const char *name)
-{
-    const boost::json::value *value = object.if_contains(name);
-    return value != nullptr && value->is_string() ? std::string_view(value->get_string()) : std::string_view();
-}
-
 void readUsage(const boost::json::object &usage, StreamEvent &event)
 {
     event.kind = StreamEvent::Kind::End;
-    event.position = number(usage, "total_position");
-    event.promptTokens = number(usage, "prompt_tokens");
+    event.position = JsonText::number(usage, "total_position");
+    event.promptTokens = JsonText::number(usage, "prompt_tokens");
 }
 
 /// The completions call with server-sent events, a position in each part and the total in the last.
@@ -94,8 +83,8 @@
     static std::optional<StreamEvent> read(const boost::json::object &object, std::string_view attemptId, Reason &reason)
     {
         StreamEvent event;
-        event.ownAttempt = text(object, "id") == attemptId;
-        event.position = number(object, "position");
+        event.ownAttempt = JsonText::text(object, "id") == attemptId;
+        event.position = JsonText::number(object, "position");
         if (object.contains("error")) {
             event.kind = StreamEvent::Kind::Failure;
             event.text = boost::json::serialize(object.at("error"));
@@ -114,7 +103,7 @@
         if (choices == nullptr || !choices->is_array() || choices->get_array().empty() || !choices->get_array().front().is_object()) {
             return false;
         }
-        event.text = text(choices->get_array().front().get_object(), "text");
+        event.text = JsonText::text(choices->get_array().front().get_object(), "text");
         return true;
     }
 };
--- a/Source/Targets/ServiceDialect.cpp
+++ b/Source/Targets/ServiceDialect.cpp
@@ -1,5 +1,5 @@
+#include "Flow/JsonText.h"
 #include "Kernel/Registration.h"
-#include "Targets/JsonText.h"
 #include "Targets/TargetCall.h"
 #include "Targets/TargetDialect.h"
 
--- a/Tests/Scenario/ScenarioTest.cpp
+++ b/Tests/Scenario/ScenarioTest.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -14,6 +15,7 @@
     CPPUNIT_TEST_SUITE(ScenarioTest);
     CPPUNIT_TEST(everyScenarioHoldsAndPrintsWhatStandsBesideIt);
     CPPUNIT_TEST(randomFaultsBreakNothing);
+    CPPUNIT_TEST(brokenRulesAreSeen);
     CPPUNIT_TEST(unmetExpectationsAreTold);
     CPPUNIT_TEST_SUITE_END();
 
@@ -48,6 +50,33 @@
         }
     }
 
+    void brokenRulesAreSeen()
+    {
+        struct Case {
+            const char *scenario;
+            const char *rule;
+            const char *violation;
+        };
+        constexpr std::array cases = {
+            Case{"cold-start-eight-senders", "cold-shares", "cold_exceeded is"},
+            Case{"data-centre-out-and-back", "out-of-service", "after_out is"},
+            Case{"target-leaves", "out-of-service", "after_out is"},
+            Case{"bookings-under-lost-answers", "run-once", "ran_twice is"},
+            Case{"bookings-under-lost-answers", "not-run", "not_run_false is"},
+            Case{"poison-requests", "quarantine", "poison_excess is"},
+        };
+        const std::filesystem::path file = std::filesystem::temp_directory_path() / "guavalock-broken.yaml";
+        for (const Case &it : cases) {
+            std::ifstream in(std::string(GUAVALOCK_SOURCE_DIR "/Scenarios/") + it.scenario + ".yaml");
+            std::ofstream(file) << in.rdbuf() << "breaks: [ " << it.rule << " ]\n";
+            std::ostringstream out;
+            const bool holds = ScenarioCommand({1, false, {}}).run(file, out);
+            std::filesystem::remove(file);
+            CPPUNIT_ASSERT_MESSAGE(std::string(it.rule) + ": " + out.str(), !holds);
+            CPPUNIT_ASSERT_MESSAGE(std::string(it.rule) + ": " + out.str(), out.str().find(it.violation) != std::string::npos);
+        }
+    }
+
     void unmetExpectationsAreTold()
     {
         const std::filesystem::path file = std::filesystem::temp_directory_path() / "guavalock-unmet.yaml";
