--- a/Utilities/lint.sh
+++ b/Utilities/lint.sh
@@ -5,7 +5,7 @@
 base=${1:-}
 mapfile -t files < <(git ls-files 'Source/*.h' 'Source/*.cpp' 'Fakes/*.h' 'Fakes/*.cpp' 'Tests/*.h' 'Tests/*.cpp' 'Benchmarks/*.cpp' | grep -v Generated)
 clang-format --dry-run -Werror "${files[@]}"
-mapfile -t units < <(if [ -n "$base" ]; then git diff --name-only "$base"; else printf '%s\n' "${files[@]}"; fi | grep '\.cpp$' || true)
+mapfile -t units < <(if [ -n "$base" ]; then git diff --name-only --diff-filter=d "$base"; else printf '%s\n' "${files[@]}"; fi | grep '\.cpp$' || true)
 # clang 14 takes the coroutines of GCC's library only when told that it has them.
 printf '%s\n' "${units[@]}" | xargs -r -P "$(nproc)" -n 2 clang-tidy --quiet -p build/release \
   --extra-arg=-D__cpp_impl_coroutine=201902L --extra-arg=-Wno-unknown-warning-option 2>/dev/null
