--- a/Source/Decisions/ColdShare.cpp
+++ b/Source/Decisions/ColdShare.cpp
@@ -31,11 +31,4 @@
     return whole + (rank < rest ? 1 : 0);
 }
 
-std::vector<std::string> ColdShare::holders(const std::string &target, std::size_t slots, const std::vector<std::string> &daemons)
-{
-    std::vector<std::string> order = ranked(target, daemons);
-    order.resize(std::min(order.size(), slots));
-    return order;
-}
-
 } // namespace Guavalock
--- a/Source/Decisions/ColdShare.h
+++ b/Source/Decisions/ColdShare.h
@@ -17,9 +17,6 @@
 public:
     /// Returns how many of the target's slots the daemon may use. Daemons must hold the daemon's own name.
     static std::size_t of(const std::string &target, std::size_t slots, const std::string &daemon, const std::vector<std::string> &daemons);
-
-    /// Returns the daemons that hold a share, highest rank first.
-    static std::vector<std::string> holders(const std::string &target, std::size_t slots, const std::vector<std::string> &daemons);
 };
 
 } // namespace Guavalock
--- a/Source/FrontEnds/HttpExchange.cpp
+++ b/Source/FrontEnds/HttpExchange.cpp
@@ -59,21 +59,6 @@
     return target.substr(0, target.find('?'));
 }
 
-std::string_view HttpExchange::query(std::string_view name) const
-{
-    const std::string_view target = view(m_request.target());
-    const std::size_t mark = target.find('?');
-    std::string_view rest = mark == std::string_view::npos ? std::string_view() : target.substr(mark + 1);
-    while (!rest.empty()) {
-        const std::string_view item = rest.substr(0, rest.find('&'));
-        if (item.starts_with(name) && item.size() > name.size() && item[name.size()] == '=') {
-            return item.substr(name.size() + 1);
-        }
-        rest.remove_prefix(std::min(rest.size(), item.size() + 1));
-    }
-    return {};
-}
-
 std::string_view HttpExchange::header(std::string_view name) const
 {
     return view(m_request[boost::beast::string_view(name.data(), name.size())]);
--- a/Source/FrontEnds/HttpExchange.h
+++ b/Source/FrontEnds/HttpExchange.h
@@ -29,9 +29,6 @@
     /// Returns the path without the query.
     std::string_view path() const;
 
-    /// Returns the value of a query field as it stands, or empty.
-    std::string_view query(std::string_view name) const;
-
     /// Returns a header's value, or empty when it is absent.
     std::string_view header(std::string_view name) const;
 
