Work out a stage's budget and an organisation's limit once

Each stage asked the target table for its budget twice, once to see whether the deadline can be met and once for the stage's end, and each request looked its organisation up in two configurations that could differ. Both are now worked out once and kept. The four scenario faults that take out and bring back share two functions.

--- a/Source/Pipeline/PipelineRunner.cpp
+++ b/Source/Pipeline/PipelineRunner.cpp
@@ -76,6 +76,7 @@
     }
     state.pipeline = pipeline->second;
     state.weight = organisation->second.weight;
+    state.organisationLimit = organisation->second.requests;
     state.deadline = request.received + request.deadline.value_or(state.pipeline.deadline);
     state.fingerprint = fingerprint(request, m_services.settings.peerKey);
     state.context = request.body;
@@ -100,11 +101,8 @@
         count(state, answer);
         co_return answer;
     }
-    const std::shared_ptr<const Configuration> configuration = m_services.configuration.current();
-    const auto organisation = configuration->organisations.find(state.request.organisation);
-    const std::size_t limit = organisation == configuration->organisations.end() ? 0 : organisation->second.requests;
     RequestTable::Place place;
-    const ResultCode admitted = m_services.requests.admit(state.request.organisation, limit, place);
+    const ResultCode admitted = m_services.requests.admit(state.request.organisation, state.organisationLimit, place);
     if (admitted != ResultCode::Ok) {
         answer.refusal = notRunNow(admitted);
     } else if (state.pipeline.idempotent()) {
--- a/Source/Pipeline/RequestState.h
+++ b/Source/Pipeline/RequestState.h
@@ -14,6 +14,7 @@
     PipelineRequest request;
     PipelineSettings pipeline;
     std::size_t weight = 1; ///< Of its organisation.
+    std::size_t organisationLimit = 0; ///< Requests that its organisation may have in progress.
     Clock::TimePoint deadline{};
     std::uint64_t fingerprint = 0; ///< The same for the same body sent again.
     RunTracker run;
--- a/Source/Pipeline/StageRunner.cpp
+++ b/Source/Pipeline/StageRunner.cpp
@@ -72,7 +72,6 @@
     call.demand.weight = state.weight;
     call.demand.urgent = state.request.urgent;
     call.demand.affinity = stage.affinity(*input);
-    call.demand.deadline = DeadlineBudget::stageEnd(budget(state, index, m_services.targets), m_services.clock.now(), state.deadline);
     call.input = std::move(*input);
     return call;
 }
@@ -83,7 +82,9 @@
     const StageSettings &settings = state.pipeline.stages[index];
     const Stage &stage = *m_stages.at(settings.stage);
     const bool idempotent = state.pipeline.idempotent();
-    if (!DeadlineBudget::reachable(budget(state, index, m_services.targets), m_services.clock.now(), state.deadline)) {
+    const std::vector<DeadlineBudget::Stage> remaining = budget(state, index, m_services.targets);
+    const Clock::TimePoint start = m_services.clock.now();
+    if (!DeadlineBudget::reachable(remaining, start, state.deadline)) {
         co_return RefusalTable::refusal(RefusalCause::DeadlineUnreachable, state.run.state(), idempotent,
                                         "too little time is left for the stage " + settings.name);
     }
@@ -92,8 +93,9 @@
     if (!call) {
         co_return Refusal::of(reason.code, state.run.state(), reason.text);
     }
+    call->demand.deadline = DeadlineBudget::stageEnd(remaining, start, state.deadline);
     GenerationSink sink(caller);
-    StageCourse course(settings.idempotent, settings.attempts, m_services.clock.now(), call->demand.deadline);
+    StageCourse course(settings.idempotent, settings.attempts, start, call->demand.deadline);
     for (;;) {
         renew(*call, state, index, course, sink);
         AttemptResult result = co_await attempt(*call, sink, cancellation);
--- a/Source/Scenario/ScenarioFaults.cpp
+++ b/Source/Scenario/ScenarioFaults.cpp
@@ -121,32 +121,38 @@
     m_world.target(fault.name).failCalls(fault.length);
 }
 
-void ScenarioFaults::strikeTargetOut(const ScenarioFault &fault)
+void ScenarioFaults::takeOut(std::set<std::string> &out, const std::string &name)
 {
-    m_world.configuration.targetsOut.insert(fault.name);
-    m_world.outSince[fault.name] = m_world.events.now();
+    out.insert(name);
+    m_world.outSince[name] = m_world.events.now();
     adoptEverywhere();
 }
 
-void ScenarioFaults::strikeTargetIn(const ScenarioFault &fault)
+void ScenarioFaults::bringBack(std::set<std::string> &out, const std::string &name)
 {
-    m_world.configuration.targetsOut.erase(fault.name);
-    m_world.outSince.erase(fault.name);
+    out.erase(name);
+    m_world.outSince.erase(name);
     adoptEverywhere();
 }
 
+void ScenarioFaults::strikeTargetOut(const ScenarioFault &fault)
+{
+    takeOut(m_world.configuration.targetsOut, fault.name);
+}
+
+void ScenarioFaults::strikeTargetIn(const ScenarioFault &fault)
+{
+    bringBack(m_world.configuration.targetsOut, fault.name);
+}
+
 void ScenarioFaults::strikeCentreOut(const ScenarioFault &fault)
 {
-    m_world.configuration.dataCentresOut.insert(fault.name);
-    m_world.outSince[fault.name] = m_world.events.now();
-    adoptEverywhere();
+    takeOut(m_world.configuration.dataCentresOut, fault.name);
 }
 
 void ScenarioFaults::strikeCentreIn(const ScenarioFault &fault)
 {
-    m_world.configuration.dataCentresOut.erase(fault.name);
-    m_world.outSince.erase(fault.name);
-    adoptEverywhere();
+    bringBack(m_world.configuration.dataCentresOut, fault.name);
 }
 
 void ScenarioFaults::strikeBurst(const ScenarioFault &fault)
--- a/Source/Scenario/ScenarioFaults.h
+++ b/Source/Scenario/ScenarioFaults.h
@@ -2,6 +2,7 @@
 
 #include "Scenario/ScenarioFault.h"
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,8 @@
     void schedule(const ScenarioFault &fault);
     ScenarioFault randomFault();
     void adoptEverywhere();
+    void takeOut(std::set<std::string> &out, const std::string &name);
+    void bringBack(std::set<std::string> &out, const std::string &name);
 
     void strikeCrash(const ScenarioFault &fault);
     void strikeCold(const ScenarioFault &fault);
