--- /dev/null
+++ b/Source/Batching/BatchOwner.cpp
@@ -0,0 +1,370 @@
+#include "Batching/BatchOwner.h"
+
+#include "Batching/BatchWorker.h"
+#include "Batching/StageCodec.h"
+#include "Fleet/Catalogue.h"
+#include "Fleet/CatalogueTable.h"
+#include "Fleet/FleetTable.h"
+#include "Fleet/RepeatBudget.h"
+#include "Kernel/Counter.h"
+#include "Kernel/Distribution.h"
+#include "Kernel/Log.h"
+#include "Kernel/Metrics.h"
+#include "Net/HttpCaller.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace Guavalock
+{
+
+namespace Asio = boost::asio;
+
+namespace
+{
+
+using Milliseconds = std::chrono::milliseconds;
+
+constexpr Milliseconds connectTimeout{300}; ///< Far above a round trip; a target that does not answer within it is passed over.
+constexpr Milliseconds freeTimeout{1'000}; ///< Results that were not freed end by themselves after seconds.
+constexpr Milliseconds freeDelay{40}; ///< Collects handles into one call; a fifth of a batch call.
+constexpr Milliseconds sweepInterval{50}; ///< For pieces that wait for a near target, for a refusal's end or past their deadline.
+constexpr Milliseconds refusalHold{60}; ///< After a target has refused a call: part of a call's time.
+constexpr Milliseconds fullHold{100}; ///< After a target had no room for a result.
+constexpr Milliseconds callSlack{400}; ///< On top of twice the expected time, before a call counts as lost.
+constexpr unsigned mostTries = 4; ///< Calls that one piece may be in; beyond that its request has missed its objective.
+constexpr double slowLimit = 2.0; ///< A target that takes this many times the stated time is slow.
+
+Clock::Duration expectedTime(const BatchTerms &terms, std::size_t pieces)
+{
+    return terms.callTime + terms.pieceTime * static_cast<int>(pieces);
+}
+
+} // namespace
+
+BatchOwner::BatchOwner(Asio::any_io_executor executor, Parts parts, Deliver deliver)
+    : m_strand(Asio::make_strand(std::move(executor)))
+    , m_parts(parts)
+    , m_deliver(std::move(deliver))
+    , m_sweepTimer(m_strand)
+{
+    Asio::co_spawn(m_strand, sweep(), Asio::detached);
+}
+
+BatchOwner::~BatchOwner() = default;
+
+void BatchOwner::submit(std::string origin, std::vector<Piece> pieces)
+{
+    Asio::post(m_strand, [this, origin = std::move(origin), pieces = std::move(pieces)]() mutable { add(origin, std::move(pieces)); });
+}
+
+void BatchOwner::cancel(std::string origin, std::string requestId)
+{
+    Asio::post(m_strand, [this, origin = std::move(origin), requestId = std::move(requestId)] { drop(origin, requestId); });
+}
+
+void BatchOwner::release(std::vector<std::string> handles)
+{
+    Asio::post(m_strand, [this, handles = std::move(handles)] { free(handles); });
+}
+
+void BatchOwner::stop()
+{
+    Asio::post(m_strand, [this] {
+        m_stopped = true;
+        m_sweepTimer.cancel();
+    });
+}
+
+void BatchOwner::add(const std::string &origin, std::vector<Piece> pieces)
+{
+    const Clock::TimePoint now = m_parts.clock.now();
+    std::vector<std::string> names;
+    for (Piece &it : pieces) {
+        const std::string name = it.service;
+        m_parts.budget.request(name, now);
+        m_services[name].queue.add({std::move(it), origin, now, 0});
+        if (std::ranges::find(names, name) == names.end()) {
+            names.push_back(name);
+        }
+    }
+    for (const std::string &it : names) {
+        pump(it);
+    }
+}
+
+void BatchOwner::drop(const std::string &origin, const std::string &requestId)
+{
+    for (auto &[name, service] : m_services) {
+        service.queue.cancel(origin, requestId);
+        for (auto &[id, worker] : service.workers) {
+            for (BatchQueue::Entry &it : worker->inFlight) {
+                if (it.origin == origin && it.piece.requestId == requestId) {
+                    it.origin.clear();
+                }
+            }
+        }
+    }
+}
+
+void BatchOwner::free(const std::vector<std::string> &handles)
+{
+    for (const std::string &handle : handles) {
+        const std::optional<Endpoint> address = m_parts.codec.maker(handle);
+        const std::optional<TargetPick> target = address ? m_parts.fleet.at(*address) : std::nullopt;
+        if (!target) {
+            continue; // The results of a target that is gone are gone with it.
+        }
+        std::shared_ptr<BatchWorker> &worker = m_services[target->service].workers[target->id];
+        if (!worker) {
+            worker = std::make_shared<BatchWorker>(*target);
+        }
+        worker->room.free(handle);
+        worker->toFree.push_back(handle);
+        if (!worker->freeing) {
+            worker->freeing = true;
+            Asio::co_spawn(m_strand, freeLater(worker), Asio::detached);
+        }
+    }
+}
+
+Asio::awaitable<void> BatchOwner::freeLater(std::shared_ptr<BatchWorker> worker)
+{
+    Asio::steady_timer timer(m_strand, freeDelay);
+    co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
+    if (!worker->freeCaller) {
+        worker->freeCaller = std::make_unique<HttpCaller>(m_strand, worker->target.address);
+    }
+    while (!worker->toFree.empty()) {
+        HttpCaller::Request request;
+        request.method = "POST";
+        request.path = m_parts.codec.freePath();
+        request.body = m_parts.codec.freeBody(worker->toFree);
+        request.headers.push_back(m_parts.codec.expect(worker->target.id));
+        worker->toFree.clear();
+        const auto answer = co_await worker->freeCaller->call(std::move(request), connectTimeout, freeTimeout);
+        if (!answer) {
+            m_parts.metrics.counter("stage_free_failures_total").add();
+        }
+    }
+    worker->freeing = false;
+}
+
+std::vector<std::shared_ptr<BatchWorker>> BatchOwner::idleWorkers(Service &service, const std::string &name, Clock::TimePoint now) const
+{
+    const std::vector<TargetPick> targets = m_parts.fleet.usable(name, now);
+    std::vector<std::shared_ptr<BatchWorker>> idle;
+    for (const TargetPick &it : targets) {
+        std::shared_ptr<BatchWorker> &worker = service.workers[it.id];
+        if (!worker || worker->target.address != it.address) {
+            worker = std::make_shared<BatchWorker>(it);
+        }
+        if (!worker->busy && worker->holdUntil <= now) {
+            idle.push_back(worker);
+        }
+    }
+    std::erase_if(service.workers, [&](const auto &entry) {
+        const bool known = std::ranges::any_of(targets, [&](const TargetPick &it) { return it.id == entry.first; });
+        return !known && !entry.second->busy && !entry.second->freeing;
+    });
+    std::ranges::stable_sort(idle, {}, [now](const auto &it) { return it->slowness(now); });
+    return idle;
+}
+
+void BatchOwner::pump(const std::string &name)
+{
+    const std::shared_ptr<const Catalogue> catalogue = m_parts.catalogue.current();
+    const ServiceRecord *record = catalogue ? catalogue->service(name) : nullptr;
+    Service &service = m_services[name];
+    if (record == nullptr || !record->batch || service.queue.empty()) {
+        return;
+    }
+    const BatchTerms &terms = *record->batch;
+    const Clock::TimePoint now = m_parts.clock.now();
+    const auto idle = idleWorkers(service, name, now);
+    for (const std::shared_ptr<BatchWorker> &worker : idle) {
+        const double slowness = worker->slowness(now);
+        const std::size_t others = service.workers.size() > 1 ? service.workers.size() - 1 : 0;
+        // A slow target helps only when the others need longer for what waits.
+        const bool worthwhile = slowness < slowLimit
+            || static_cast<double>(service.queue.size()) > (slowness - 1) * static_cast<double>(others * terms.batchLimit);
+        if (!worthwhile) {
+            continue;
+        }
+        std::vector<BatchQueue::Entry> entries
+            = service.queue.take(terms, worker->room.left(terms.roomBytes, now), worker->target.dataCentre, now);
+        if (!entries.empty()) {
+            startCall(name, worker, std::move(entries), terms);
+        }
+    }
+}
+
+void BatchOwner::startCall(const std::string &name, const std::shared_ptr<BatchWorker> &worker, std::vector<BatchQueue::Entry> entries,
+                           const BatchTerms &terms)
+{
+    worker->busy = true;
+    worker->inFlight = std::move(entries);
+    m_parts.metrics.counter("stage_calls_total{service=\"" + name + "\"}").add();
+    m_parts.metrics.counter("stage_pieces_total{service=\"" + name + "\"}").add(worker->inFlight.size());
+    Asio::co_spawn(m_strand, call(name, worker, terms), Asio::detached);
+}
+
+Asio::awaitable<void> BatchOwner::call(std::string name, std::shared_ptr<BatchWorker> worker, BatchTerms terms)
+{
+    const Clock::TimePoint start = m_parts.clock.now();
+    std::vector<Piece> pieces;
+    for (BatchQueue::Entry &it : worker->inFlight) {
+        ++it.tries;
+        pieces.push_back(it.piece);
+    }
+    const Clock::Duration expected = expectedTime(terms, pieces.size());
+    if (!worker->batchCaller) {
+        worker->batchCaller = std::make_unique<HttpCaller>(m_strand, worker->target.address);
+    }
+    HttpCaller::Request request;
+    request.method = "POST";
+    request.path = m_parts.codec.batchPath();
+    request.body = m_parts.codec.batchBody(pieces, start);
+    request.headers.push_back(m_parts.codec.expect(worker->target.id));
+    const double patience = 2 * std::max(worker->slowness(start), 1.0);
+    const auto limit = std::chrono::duration_cast<Milliseconds>(expected * patience + callSlack);
+    const auto answer = co_await worker->batchCaller->call(std::move(request), connectTimeout, limit);
+    const Clock::TimePoint now = m_parts.clock.now();
+    worker->busy = false;
+    if (answer && answer->status == 200) {
+        worker->callEnded(now - start, expected, now);
+        m_parts.metrics.distribution("stage_call_seconds").observe(now - start);
+        answered(name, *worker, answer->body, terms);
+    } else if (answer) {
+        worker->holdUntil = now + refusalHold;
+        failed(name, *worker, TargetReport::End::Refused);
+    } else if (worker->batchCaller->failure() == HttpCaller::Failure::NotConnected) {
+        failed(name, *worker, TargetReport::End::Unreachable);
+    } else if (worker->batchCaller->failure() == HttpCaller::Failure::TimedOut) {
+        worker->callEnded(now - start, expected, now);
+        failed(name, *worker, TargetReport::End::Late);
+    } else {
+        failed(name, *worker, TargetReport::End::Broken);
+    }
+    giveAll();
+    if (!m_stopped) {
+        pump(name);
+    }
+}
+
+void BatchOwner::answered(const std::string &name, BatchWorker &worker, const std::string &body, const BatchTerms &terms)
+{
+    const auto made = m_parts.codec.batchAnswer(body, worker.inFlight.size());
+    if (!made) {
+        failed(name, worker, TargetReport::End::Failed);
+        return;
+    }
+    const Clock::TimePoint now = m_parts.clock.now();
+    std::vector<std::string> unwanted;
+    std::vector<BatchQueue::Entry> entries = std::move(worker.inFlight);
+    worker.inFlight.clear();
+    for (std::size_t it = 0; it < entries.size(); ++it) {
+        BatchQueue::Entry &entry = entries[it];
+        const StageCodec::Made &result = made->at(it);
+        switch (result.end) {
+        case StageCodec::Made::End::Made:
+            worker.room.add(result.handle, entry.piece.resultBytes, now + terms.resultLife);
+            if (entry.origin.empty()) {
+                unwanted.push_back(result.handle);
+            } else {
+                give(entry.origin, {entry.piece.number, PieceResult::End::Made, result.handle, worker.target.dataCentre});
+            }
+            break;
+        case StageCodec::Made::End::Late:
+            give(entry.origin, {entry.piece.number, PieceResult::End::Late, {}, {}});
+            break;
+        case StageCodec::Made::End::InputsGone:
+            give(entry.origin, {entry.piece.number, PieceResult::End::InputsGone, {}, {}});
+            break;
+        case StageCodec::Made::End::NoRoom:
+            worker.room.full(now + fullHold);
+            requeue(name, std::move(entry));
+            break;
+        case StageCodec::Made::End::Failed:
+            requeue(name, std::move(entry));
+            break;
+        }
+    }
+    m_parts.fleet.ended(worker.target.id, {TargetReport::End::Answered, {}, std::nullopt}, terms.callTime, now);
+    free(unwanted);
+}
+
+void BatchOwner::failed(const std::string &name, BatchWorker &worker, TargetReport::End end)
+{
+    constexpr std::array words{"answered", "failed", "refused", "moved", "unreachable", "broken", "timed-out", "cancelled"};
+    const Clock::TimePoint now = m_parts.clock.now();
+    m_parts.fleet.ended(worker.target.id, {end, {}, std::nullopt}, {}, now);
+    m_parts.metrics.counter("stage_call_failures_total{service=\"" + name + "\"}").add();
+    Log::warning("batching", "call-failed",
+                 {{"service", name},
+                  {"target", worker.target.id},
+                  {"end", words.at(static_cast<std::size_t>(end))},
+                  {"pieces", std::to_string(worker.inFlight.size())},
+                  {"first_request", worker.inFlight.empty() ? "" : worker.inFlight.front().piece.requestId}});
+    std::vector<BatchQueue::Entry> entries = std::move(worker.inFlight);
+    worker.inFlight.clear();
+    for (BatchQueue::Entry &it : entries) {
+        requeue(name, std::move(it));
+    }
+}
+
+void BatchOwner::requeue(const std::string &name, BatchQueue::Entry entry)
+{
+    const Clock::TimePoint now = m_parts.clock.now();
+    if (entry.origin.empty()) {
+        return;
+    }
+    if (entry.tries >= mostTries || !m_parts.budget.take(name, now)) {
+        give(entry.origin, {entry.piece.number, PieceResult::End::Failed, {}, {}});
+        return;
+    }
+    m_services[name].queue.add(std::move(entry));
+}
+
+void BatchOwner::give(const std::string &origin, PieceResult result)
+{
+    if (!origin.empty()) {
+        m_results[origin].push_back(std::move(result));
+    }
+}
+
+void BatchOwner::giveAll()
+{
+    auto results = std::move(m_results);
+    m_results.clear();
+    for (auto &[origin, list] : results) {
+        m_deliver(origin, std::move(list));
+    }
+}
+
+Asio::awaitable<void> BatchOwner::sweep()
+{
+    while (!m_stopped) {
+        m_sweepTimer.expires_after(sweepInterval);
+        co_await m_sweepTimer.async_wait(Asio::as_tuple(Asio::use_awaitable));
+        const Clock::TimePoint now = m_parts.clock.now();
+        for (auto &[name, service] : m_services) {
+            if (service.queue.empty()) {
+                continue;
+            }
+            for (const BatchQueue::Entry &it : service.queue.takeLate(now)) {
+                give(it.origin, {it.piece.number, PieceResult::End::Late, {}, {}});
+            }
+            pump(name);
+        }
+        giveAll();
+    }
+}
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Batching/BatchOwner.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "Batching/BatchQueue.h"
+#include "Batching/PieceResult.h"
+#include "Fleet/BatchTerms.h"
+#include "Fleet/TargetReport.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Guavalock
+{
+
+class BatchWorker;
+class CatalogueTable;
+class FleetTable;
+class Metrics;
+class RepeatBudget;
+class StageCodec;
+
+/// Batches the pieces of all daemons for the targets of the services that this daemon owns.
+///
+/// A target gets one call at a time. While a target is idle and pieces wait, they are sent; under load, batches grow by themselves.
+/// Members are callable from any thread.
+class BatchOwner
+{
+public:
+    /// Takes results back to the daemon that asked.
+    using Deliver = std::function<void(const std::string &origin, std::vector<PieceResult>)>;
+
+    struct Parts {
+        const Clock &clock;
+        CatalogueTable &catalogue;
+        FleetTable &fleet;
+        RepeatBudget &budget;
+        const StageCodec &codec;
+        Metrics &metrics;
+    };
+
+    BatchOwner(boost::asio::any_io_executor executor, Parts parts, Deliver deliver);
+    ~BatchOwner();
+
+    void submit(std::string origin, std::vector<Piece> pieces);
+
+    /// Nobody waits for a request's pieces any more.
+    void cancel(std::string origin, std::string requestId);
+
+    /// Frees results at their makers.
+    void release(std::vector<std::string> handles);
+
+    void stop();
+
+private:
+    using Workers = std::map<std::string, std::shared_ptr<BatchWorker>>;
+
+    struct Service {
+        BatchQueue queue;
+        Workers workers; ///< By the target's id.
+    };
+
+    void add(const std::string &origin, std::vector<Piece> pieces);
+    void drop(const std::string &origin, const std::string &requestId);
+    void free(const std::vector<std::string> &handles);
+
+    /// Sends what can be sent of one service's queue.
+    void pump(const std::string &name);
+
+    /// Returns the idle workers of a service, the fastest first, and forgets those whose target is gone.
+    std::vector<std::shared_ptr<BatchWorker>> idleWorkers(Service &service, const std::string &name, Clock::TimePoint now) const;
+
+    void startCall(const std::string &name, const std::shared_ptr<BatchWorker> &worker, std::vector<BatchQueue::Entry> entries,
+                   const BatchTerms &terms);
+    boost::asio::awaitable<void> call(std::string name, std::shared_ptr<BatchWorker> worker, BatchTerms terms);
+    void answered(const std::string &name, BatchWorker &worker, const std::string &body, const BatchTerms &terms);
+    void failed(const std::string &name, BatchWorker &worker, TargetReport::End end);
+    void requeue(const std::string &name, BatchQueue::Entry entry);
+    void give(const std::string &origin, PieceResult result);
+    void giveAll();
+    boost::asio::awaitable<void> freeLater(std::shared_ptr<BatchWorker> worker);
+    boost::asio::awaitable<void> sweep();
+
+    boost::asio::any_io_executor m_strand;
+    Parts m_parts;
+    Deliver m_deliver;
+    std::map<std::string, Service> m_services;
+    std::map<std::string, std::vector<PieceResult>> m_results; ///< To be delivered at the end of the current step, by daemon.
+    boost::asio::steady_timer m_sweepTimer;
+    bool m_stopped = false;
+};
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Batching/BatchQueue.cpp
@@ -0,0 +1,78 @@
+#include "Batching/BatchQueue.h"
+
+#include "Fleet/BatchTerms.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace Guavalock
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds nearHold{60}; ///< How long a piece waits for a target near its inputs; a quarter of a call.
+constexpr std::uint64_t farBytes = 64 * 1024; ///< Inputs below this size may cross data centres at no noticeable cost.
+
+bool waitsForNear(const BatchQueue::Entry &entry, const std::string &dataCentre, Clock::TimePoint now)
+{
+    const Piece &piece = entry.piece;
+    return piece.inputBytes > farBytes && !piece.inputDataCentre.empty() && piece.inputDataCentre != dataCentre
+        && now < entry.arrived + nearHold;
+}
+
+} // namespace
+
+void BatchQueue::add(Entry entry)
+{
+    m_entries.push_back(std::move(entry));
+}
+
+std::vector<BatchQueue::Entry> BatchQueue::take(const BatchTerms &terms, std::uint64_t room, const std::string &dataCentre,
+                                                Clock::TimePoint now)
+{
+    const auto urgency = [&](const Entry &it) {
+        const bool lost = now + terms.callTime > it.piece.wantedBy;
+        return std::tuple(lost, it.piece.rank, it.piece.wantedBy, it.piece.number);
+    };
+    std::ranges::stable_sort(m_entries, {}, urgency);
+    std::vector<Entry> taken;
+    std::vector<Entry> left;
+    std::uint64_t bytes = 0;
+    for (Entry &it : m_entries) {
+        const bool fits = taken.size() < terms.batchLimit && bytes + it.piece.resultBytes <= room;
+        if (!fits || waitsForNear(it, dataCentre, now)) {
+            left.push_back(std::move(it));
+            continue;
+        }
+        bytes += it.piece.resultBytes;
+        taken.push_back(std::move(it));
+    }
+    m_entries = std::move(left);
+    return taken;
+}
+
+std::vector<BatchQueue::Entry> BatchQueue::takeLate(Clock::TimePoint now)
+{
+    const auto late = std::ranges::stable_partition(m_entries, [now](const Entry &it) { return it.piece.deadline > now; });
+    std::vector<Entry> taken(std::make_move_iterator(late.begin()), std::make_move_iterator(late.end()));
+    m_entries.erase(late.begin(), late.end());
+    return taken;
+}
+
+void BatchQueue::cancel(const std::string &origin, const std::string &requestId)
+{
+    std::erase_if(m_entries, [&](const Entry &it) { return it.origin == origin && it.piece.requestId == requestId; });
+}
+
+bool BatchQueue::empty() const
+{
+    return m_entries.empty();
+}
+
+std::size_t BatchQueue::size() const
+{
+    return m_entries.size();
+}
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Batching/BatchQueue.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "Batching/Piece.h"
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace Guavalock
+{
+
+struct BatchTerms;
+
+/// The pieces of one service that wait for a target, from all daemons. A decision without input or output.
+///
+/// Pieces whose request can still meet its objective go first, then those of a more urgent rank, then the earlier objective.
+class BatchQueue
+{
+public:
+    struct Entry {
+        Piece piece;
+        std::string origin; ///< The daemon that asked for it.
+        Clock::TimePoint arrived;
+        unsigned tries = 0; ///< Calls that it was in before.
+    };
+
+    void add(Entry entry);
+
+    /// Removes and returns what the next call to a target takes. Room is what the target has left for results, in bytes.
+    std::vector<Entry> take(const BatchTerms &terms, std::uint64_t room, const std::string &dataCentre, Clock::TimePoint now);
+
+    /// Removes and returns the pieces whose deadline has passed.
+    std::vector<Entry> takeLate(Clock::TimePoint now);
+
+    /// Forgets the pieces of a request that nobody waits for any more.
+    void cancel(const std::string &origin, const std::string &requestId);
+
+    bool empty() const;
+    std::size_t size() const;
+
+private:
+    std::vector<Entry> m_entries;
+};
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Batching/BatchWorker.cpp
@@ -0,0 +1,41 @@
+#include "Batching/BatchWorker.h"
+
+#include "Net/HttpCaller.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Guavalock
+{
+
+namespace
+{
+
+using Seconds = std::chrono::duration<double>;
+
+constexpr double callWeight = 0.5; ///< Of one call in the running slowness: two calls tell whether a target is slow.
+constexpr double mostSlowness = 20;
+constexpr Seconds slownessMemory{3}; ///< A slow target is tried again within a few seconds.
+
+} // namespace
+
+BatchWorker::BatchWorker(TargetPick target)
+    : target(std::move(target))
+{
+}
+
+BatchWorker::~BatchWorker() = default;
+
+double BatchWorker::slowness(Clock::TimePoint now) const
+{
+    return 1.0 + (m_slowness - 1.0) * std::exp(-Seconds(now - m_lastCall) / slownessMemory);
+}
+
+void BatchWorker::callEnded(Clock::Duration took, Clock::Duration expected, Clock::TimePoint now)
+{
+    const double ratio = std::clamp(Seconds(took) / Seconds(expected), 1.0, mostSlowness);
+    m_slowness += callWeight * (ratio - m_slowness);
+    m_lastCall = now;
+}
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Batching/BatchWorker.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "Batching/BatchQueue.h"
+#include "Batching/ResultRoom.h"
+#include "Fleet/TargetPick.h"
+#include "Kernel/Clock.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Guavalock
+{
+
+class HttpCaller;
+
+/// One target of a stage service as the batch owner sees it: its call in progress, its results, its speed.
+class BatchWorker
+{
+public:
+    explicit BatchWorker(TargetPick target);
+    ~BatchWorker();
+
+    /// Returns how many times as long as stated the target's calls take; goes back to one while it gets none.
+    double slowness(Clock::TimePoint now) const;
+
+    void callEnded(Clock::Duration took, Clock::Duration expected, Clock::TimePoint now);
+
+    TargetPick target;
+    bool busy = false;
+    Clock::TimePoint holdUntil{}; ///< Nothing is sent before, because the target refused a call.
+    std::vector<BatchQueue::Entry> inFlight;
+    ResultRoom room;
+    std::vector<std::string> toFree; ///< Handles to be freed with the next call for that.
+    bool freeing = false;
+    std::unique_ptr<HttpCaller> batchCaller;
+    std::unique_ptr<HttpCaller> freeCaller;
+
+private:
+    double m_slowness = 1.0;
+    Clock::TimePoint m_lastCall{};
+};
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Batching/Piece.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "Kernel/Clock.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Guavalock
+{
+
+/// A part of a request's stage that one target makes in one call, together with others.
+struct Piece {
+    std::uint64_t number = 0; ///< Given by the daemon that asks for it, unique there.
+    std::string requestId;
+    std::size_t stage = 0;
+    std::size_t fragment = 0; ///< Position in the stage.
+    std::string service;
+    std::string key; ///< What it is made from when it has no inputs.
+    std::vector<std::string> inputs; ///< Handles of the results that it takes.
+    std::string inputDataCentre; ///< Where most bytes of its inputs lie; empty without inputs.
+    std::uint64_t inputBytes = 0;
+    std::uint64_t resultBytes = 0; ///< Approximate.
+    unsigned rank = 0; ///< Zero is the most urgent.
+    Clock::TimePoint wantedBy; ///< A result after this time makes the request miss its objective.
+    Clock::TimePoint deadline; ///< A result after this time is of no use.
+};
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Batching/PieceTransport.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "Batching/Piece.h"
+#include "Batching/PieceResult.h"
+
+#include <string>
+#include <vector>
+
+namespace Guavalock
+{
+
+/// Carries pieces and results between daemons. Callable from any thread; what cannot be sent is dropped.
+class PieceTransport
+{
+public:
+    virtual ~PieceTransport() = default;
+
+    /// Returns false when the daemon is not connected.
+    virtual bool sendPieces(const std::string &vm, const std::vector<Piece> &pieces) = 0;
+    virtual void sendResults(const std::string &vm, const std::vector<PieceResult> &results) = 0;
+    virtual void sendCancel(const std::string &vm, const std::string &requestId) = 0;
+    virtual void sendRelease(const std::string &vm, const std::vector<std::string> &handles) = 0;
+};
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Batching/PieceWait.cpp
@@ -0,0 +1,49 @@
+#include "Batching/PieceWait.h"
+
+#include "Flow/CancelScope.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace Guavalock
+{
+
+namespace Asio = boost::asio;
+
+PieceWait::PieceWait(Cancellation &cancellation)
+    : m_cancellation(cancellation)
+    , m_strand(cancellation.strand())
+    , m_timer(m_strand)
+{
+}
+
+void PieceWait::deliver(std::vector<PieceResult> results)
+{
+    Asio::post(m_strand, [self = shared_from_this(), results = std::move(results)]() mutable {
+        for (PieceResult &it : results) {
+            auto asked = self->m_asked.extract(it.number);
+            if (asked) {
+                self->m_results.emplace_back(std::move(asked.mapped().piece), std::move(it));
+            }
+        }
+        self->m_timer.cancel();
+    });
+}
+
+Asio::awaitable<std::vector<std::pair<Piece, PieceResult>>> PieceWait::next(Clock::TimePoint until)
+{
+    if (m_results.empty() && !m_cancellation.cause()) {
+        m_timer.expires_at(until);
+        const CancelScope scope(m_cancellation, [this] { m_timer.cancel(); });
+        co_await m_timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
+    }
+    co_return std::exchange(m_results, {});
+}
+
+std::map<std::uint64_t, PieceWait::Asked> &PieceWait::asked()
+{
+    return m_asked;
+}
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Batching/PieceWait.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "Batching/Piece.h"
+#include "Batching/PieceResult.h"
+#include "Flow/Cancellation.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Guavalock
+{
+
+/// The pieces that one request has asked for and not yet got. Used on the request's strand, but for deliver.
+class PieceWait : public std::enable_shared_from_this<PieceWait>
+{
+public:
+    struct Asked {
+        Piece piece;
+        std::string owner; ///< The daemon that batches it.
+        Clock::TimePoint sent;
+    };
+
+    explicit PieceWait(Cancellation &cancellation);
+
+    /// Hands results over. Callable from any thread.
+    void deliver(std::vector<PieceResult> results);
+
+    /// Waits for results until a time, or until the request is cancelled. Each asked piece gives one result.
+    boost::asio::awaitable<std::vector<std::pair<Piece, PieceResult>>> next(Clock::TimePoint until);
+
+    std::map<std::uint64_t, Asked> &asked();
+
+private:
+    Cancellation &m_cancellation;
+    boost::asio::any_io_executor m_strand;
+    boost::asio::steady_timer m_timer;
+    std::map<std::uint64_t, Asked> m_asked;
+    std::vector<std::pair<Piece, PieceResult>> m_results;
+};
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Batching/ResultRoom.cpp
@@ -0,0 +1,40 @@
+#include "Batching/ResultRoom.h"
+
+namespace Guavalock
+{
+
+std::uint64_t ResultRoom::left(std::uint64_t room, Clock::TimePoint now)
+{
+    for (auto it = m_held.begin(); it != m_held.end();) {
+        if (it->second.until <= now) {
+            m_bytes -= it->second.bytes;
+            it = m_held.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    return now < m_fullUntil || m_bytes >= room ? 0 : room - m_bytes;
+}
+
+void ResultRoom::add(const std::string &handle, std::uint64_t bytes, Clock::TimePoint until)
+{
+    if (m_held.emplace(handle, Held{bytes, until}).second) {
+        m_bytes += bytes;
+    }
+}
+
+void ResultRoom::free(const std::string &handle)
+{
+    const auto it = m_held.find(handle);
+    if (it != m_held.end()) {
+        m_bytes -= it->second.bytes;
+        m_held.erase(it);
+    }
+}
+
+void ResultRoom::full(Clock::TimePoint until)
+{
+    m_fullUntil = until;
+}
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Batching/StageCodec.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "Batching/Piece.h"
+#include "Settings/Endpoint.h"
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Guavalock
+{
+
+/// Translates calls to the targets of stage services.
+class StageCodec
+{
+public:
+    struct Made {
+        enum class End {
+            Made,
+            Late,
+            InputsGone,
+            NoRoom,
+            Failed,
+        };
+        End end = End::Failed;
+        std::string handle;
+    };
+
+    virtual ~StageCodec() = default;
+
+    /// Returns the header that makes any other target refuse a call.
+    virtual std::pair<std::string, std::string> expect(const std::string &targetId) const = 0;
+
+    virtual std::string batchPath() const = 0;
+    virtual std::string batchBody(const std::vector<Piece> &pieces, Clock::TimePoint now) const = 0;
+
+    /// Returns what became of each piece, in their order, or nothing when the answer cannot be read.
+    virtual std::optional<std::vector<Made>> batchAnswer(const std::string &body, std::size_t pieces) const = 0;
+
+    virtual std::string freePath() const = 0;
+    virtual std::string freeBody(const std::vector<std::string> &handles) const = 0;
+
+    /// Returns the address of the target that holds a result.
+    virtual std::optional<Endpoint> maker(const std::string &handle) const = 0;
+};
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Batching/StagePlan.cpp
@@ -0,0 +1,188 @@
+#include "Batching/StagePlan.h"
+
+#include <algorithm>
+#include <map>
+
+namespace Guavalock
+{
+
+StagePlan::StagePlan(const std::vector<StageNode> &stages, const std::vector<std::size_t> &counts, std::string requestId, std::string key)
+    : m_requestId(std::move(requestId))
+    , m_key(std::move(key))
+{
+    for (std::size_t it = 0; it < stages.size(); ++it) {
+        const std::size_t count = it < counts.size() ? counts[it] : 0;
+        m_stages.push_back({stages[it], std::vector<Fragment>(count), false});
+    }
+    for (const Stage &it : m_stages) {
+        for (const std::size_t before : it.node.after) {
+            if (!it.fragments.empty()) {
+                m_stages.at(before).takenByOther = true;
+            }
+        }
+    }
+}
+
+bool StagePlan::done(const Stage &stage) const
+{
+    return std::ranges::all_of(stage.fragments, [](const Fragment &it) { return !it.handle.empty(); });
+}
+
+bool StagePlan::ready(const Stage &stage) const
+{
+    return std::ranges::all_of(stage.node.after, [this](std::size_t before) { return done(m_stages[before]); });
+}
+
+std::string StagePlan::heaviest(const std::vector<std::size_t> &stages, std::uint64_t &bytes) const
+{
+    std::map<std::string, std::uint64_t> held;
+    for (const std::size_t stage : stages) {
+        for (const Fragment &it : m_stages[stage].fragments) {
+            held[it.dataCentre] += m_stages[stage].node.resultBytes;
+            bytes += m_stages[stage].node.resultBytes;
+        }
+    }
+    const auto it = std::ranges::max_element(held, {}, [](const auto &entry) { return entry.second; });
+    return it == held.end() ? std::string() : it->first;
+}
+
+Piece StagePlan::piece(std::size_t stage, std::size_t fragment) const
+{
+    Piece piece;
+    const StageNode &node = m_stages[stage].node;
+    piece.requestId = m_requestId;
+    piece.stage = stage;
+    piece.fragment = fragment;
+    piece.service = node.service;
+    piece.resultBytes = node.resultBytes;
+    for (const std::size_t before : node.after) {
+        for (const Fragment &it : m_stages[before].fragments) {
+            piece.inputs.push_back(it.handle);
+        }
+    }
+    if (piece.inputs.empty()) {
+        piece.key = m_key;
+    }
+    piece.inputDataCentre = heaviest(node.after, piece.inputBytes);
+    return piece;
+}
+
+std::vector<Piece> StagePlan::takeReady()
+{
+    std::vector<Piece> pieces;
+    for (std::size_t stage = 0; stage < m_stages.size(); ++stage) {
+        if (!ready(m_stages[stage])) {
+            continue;
+        }
+        std::vector<Fragment> &fragments = m_stages[stage].fragments;
+        for (std::size_t it = 0; it < fragments.size(); ++it) {
+            if (!fragments[it].asked) {
+                fragments[it].asked = true;
+                pieces.push_back(piece(stage, it));
+            }
+        }
+    }
+    return pieces;
+}
+
+void StagePlan::made(std::size_t stage, std::size_t fragment, std::string handle, const std::string &dataCentre)
+{
+    Fragment &it = m_stages.at(stage).fragments.at(fragment);
+    it.handle = std::move(handle);
+    it.dataCentre = dataCentre;
+}
+
+void StagePlan::lost(std::size_t stage, std::size_t fragment)
+{
+    m_stages.at(stage).fragments.at(fragment) = {};
+}
+
+void StagePlan::reset(std::size_t stage, Handles &dropped)
+{
+    Stage &it = m_stages[stage];
+    for (Fragment &fragment : it.fragments) {
+        if (!fragment.handle.empty()) {
+            dropped[it.node.service].push_back(fragment.handle);
+            fragment = {};
+        }
+    }
+    for (const std::size_t before : it.node.after) {
+        reset(before, dropped);
+    }
+}
+
+StagePlan::Handles StagePlan::inputsGone(std::size_t stage, std::size_t fragment)
+{
+    Handles dropped;
+    for (const std::size_t before : m_stages.at(stage).node.after) {
+        reset(before, dropped);
+    }
+    lost(stage, fragment);
+    return dropped;
+}
+
+StagePlan::Handles StagePlan::restart()
+{
+    Handles dropped = allHandles();
+    for (Stage &it : m_stages) {
+        it.fragments.assign(it.fragments.size(), {});
+    }
+    return dropped;
+}
+
+bool StagePlan::complete() const
+{
+    return std::ranges::all_of(m_stages, [this](const Stage &it) { return done(it); });
+}
+
+std::size_t StagePlan::depthAfter(std::size_t stage) const
+{
+    std::size_t depth = 0;
+    for (std::size_t it = 0; it < m_stages.size(); ++it) {
+        const bool takes = !m_stages[it].fragments.empty() && std::ranges::find(m_stages[it].node.after, stage) != m_stages[it].node.after.end();
+        if (takes) {
+            depth = std::max(depth, 1 + depthAfter(it));
+        }
+    }
+    return depth;
+}
+
+std::vector<std::string> StagePlan::finalHandles() const
+{
+    std::vector<std::string> handles;
+    for (const Stage &stage : m_stages) {
+        for (const Fragment &it : stage.fragments) {
+            if (!stage.takenByOther) {
+                handles.push_back(it.handle);
+            }
+        }
+    }
+    return handles;
+}
+
+StagePlan::Handles StagePlan::allHandles() const
+{
+    Handles handles;
+    for (const Stage &stage : m_stages) {
+        for (const Fragment &it : stage.fragments) {
+            if (!it.handle.empty()) {
+                handles[stage.node.service].push_back(it.handle);
+            }
+        }
+    }
+    return handles;
+}
+
+std::string StagePlan::finalDataCentre() const
+{
+    std::vector<std::size_t> last;
+    for (std::size_t it = 0; it < m_stages.size(); ++it) {
+        if (!m_stages[it].takenByOther) {
+            last.push_back(it);
+        }
+    }
+    std::uint64_t bytes = 0;
+    return heaviest(last, bytes);
+}
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Batching/StagePlan.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "Batching/Piece.h"
+#include "Fleet/StageNode.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Guavalock
+{
+
+/// How far the stages of one request are: which pieces to ask for next, and the handles that are there.
+class StagePlan
+{
+public:
+    using Handles = std::map<std::string, std::vector<std::string>>; ///< By service.
+
+    /// Stages with a count of zero are left out, and so are stages for which no count is given.
+    StagePlan(const std::vector<StageNode> &stages, const std::vector<std::size_t> &counts, std::string requestId, std::string key);
+
+    /// Returns the pieces that can be made now and have not been asked for. Numbers, rank and times are left to the caller.
+    std::vector<Piece> takeReady();
+
+    void made(std::size_t stage, std::size_t fragment, std::string handle, const std::string &dataCentre);
+
+    /// The piece is to be asked for again.
+    void lost(std::size_t stage, std::size_t fragment);
+
+    /// An input of the piece no longer exists: it and everything it depends on is to be made again. Returns dropped handles.
+    Handles inputsGone(std::size_t stage, std::size_t fragment);
+
+    /// The results are gone altogether and all is to be made again. Returns dropped handles.
+    Handles restart();
+
+    bool complete() const;
+
+    /// Returns how many calls in a row are still needed after one of the stage's own, for estimates of time.
+    std::size_t depthAfter(std::size_t stage) const;
+
+    /// Returns the handles of the stages that no other stage takes.
+    std::vector<std::string> finalHandles() const;
+
+    /// Returns every handle, by the service that made it.
+    Handles allHandles() const;
+
+    /// Returns the data centre that holds most bytes of the final results, or nothing when there are none.
+    std::string finalDataCentre() const;
+
+private:
+    struct Fragment {
+        bool asked = false;
+        std::string handle; ///< Empty until made.
+        std::string dataCentre;
+    };
+
+    struct Stage {
+        StageNode node;
+        std::vector<Fragment> fragments;
+        bool takenByOther = false;
+    };
+
+    bool done(const Stage &stage) const;
+    bool ready(const Stage &stage) const;
+    void reset(std::size_t stage, Handles &dropped);
+    Piece piece(std::size_t stage, std::size_t fragment) const;
+
+    /// Returns the data centre that holds most bytes among the results of some stages.
+    std::string heaviest(const std::vector<std::size_t> &stages, std::uint64_t &bytes) const;
+
+    std::vector<Stage> m_stages;
+    std::string m_requestId;
+    std::string m_key;
+};
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Batching/StageRun.cpp
@@ -0,0 +1,102 @@
+#include "Batching/StageRun.h"
+
+#include "Batching/PieceRouter.h"
+
+#include <algorithm>
+
+namespace Guavalock
+{
+
+namespace Asio = boost::asio;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds ownerCheck{300}; ///< Between looks at whether the owners of waiting pieces are alive.
+constexpr std::chrono::milliseconds stageTime{280}; ///< Of a later stage, for its place in the queue: a call and some waiting.
+constexpr std::chrono::milliseconds answerTime{150}; ///< From the last stage to the answer's beginning, likewise.
+
+} // namespace
+
+StageRun::StageRun(PieceRouter &router, const Clock &clock, StagePlan plan, Terms terms, Cancellation &cancellation, std::string requestId)
+    : m_router(router)
+    , m_clock(clock)
+    , m_plan(std::move(plan))
+    , m_terms(terms)
+    , m_cancellation(cancellation)
+    , m_requestId(std::move(requestId))
+    , m_wait(std::make_shared<PieceWait>(cancellation))
+{
+}
+
+StageRun::~StageRun()
+{
+    m_router.abandon(m_wait, m_requestId);
+    m_router.release(m_plan.allHandles());
+}
+
+void StageRun::submitReady()
+{
+    std::vector<Piece> pieces = m_plan.takeReady();
+    for (Piece &it : pieces) {
+        it.rank = m_terms.rank;
+        it.deadline = m_terms.deadline;
+        it.wantedBy = m_terms.objective - answerTime - stageTime * static_cast<int>(m_plan.depthAfter(it.stage));
+    }
+    if (!pieces.empty()) {
+        m_router.submit(m_wait, std::move(pieces));
+    }
+}
+
+StageRun::End StageRun::take(const Piece &piece, const PieceResult &result)
+{
+    switch (result.end) {
+    case PieceResult::End::Made:
+        m_plan.made(piece.stage, piece.fragment, result.handle, result.dataCentre);
+        return End::Complete;
+    case PieceResult::End::InputsGone:
+        m_router.release(m_plan.inputsGone(piece.stage, piece.fragment));
+        return End::Complete;
+    case PieceResult::End::Late:
+        return End::Late;
+    case PieceResult::End::Failed:
+        break;
+    }
+    return End::Failed;
+}
+
+Asio::awaitable<StageRun::End> StageRun::run()
+{
+    while (!m_plan.complete()) {
+        submitReady();
+        const Clock::TimePoint now = m_clock.now();
+        if (now >= m_terms.deadline) {
+            co_return End::Late;
+        }
+        const auto results = co_await m_wait->next(std::min(m_terms.deadline, now + ownerCheck));
+        if (m_cancellation.cause()) {
+            co_return End::Cancelled;
+        }
+        for (const auto &[piece, result] : results) {
+            const End end = take(piece, result);
+            if (end != End::Complete) {
+                co_return end;
+            }
+        }
+        m_router.resubmitLost(m_wait);
+    }
+    co_return End::Complete;
+}
+
+const StagePlan &StageRun::plan() const
+{
+    return m_plan;
+}
+
+void StageRun::restart()
+{
+    m_router.abandon(m_wait, m_requestId);
+    m_router.release(m_plan.restart());
+}
+
+} // namespace Guavalock
--- a/Source/Daemon/main.cpp
+++ b/Source/Daemon/main.cpp
@@ -1,11 +1,16 @@
 #include "Daemon/Daemon.h"
 #include "Kernel/Log.h"
+#include "Kernel/Registry.h"
 #include "Settings/SettingsFile.h"
+#include "Site/Site.h"
+#include "Site/SiteDaemon.h"
 
 #include <boost/system/system_error.hpp>
 
 #include <csignal>
 #include <iostream>
+#include <string>
+#include <vector>
 
 namespace
 {
@@ -29,11 +34,10 @@
     return signals;
 }
 
-int serve(const ProcessSettings &settings)
+/// Starts a daemon and stops it with the first stop signal.
+template <class AnyDaemon>
+int serve(AnyDaemon &daemon, const sigset_t &signals)
 {
-    const sigset_t signals = blockStopSignals();
-    Log::start(settings.vm);
-    Daemon daemon(settings);
     try {
         daemon.start();
     } catch (const boost::system::system_error &e) {
@@ -45,16 +49,44 @@
     return daemon.stop() ? 0 : exitCut;
 }
 
+/// Serves with the settings and codecs of a site plug-in.
+int serveSite(const std::string &name)
+{
+    const std::unique_ptr<Site> site = Registry<Site>::instance().create(name);
+    if (!site) {
+        std::cerr << "guavalockd: no site plug-in is named '" << name << "'; known:";
+        for (const std::string &it : PluginCatalogue::instance().names(Site::pluginKind)) {
+            std::cerr << ' ' << it;
+        }
+        std::cerr << '\n';
+        return exitUsage;
+    }
+    Reason reason;
+    const std::optional<SiteSettings> settings = site->settings(reason);
+    if (!settings) {
+        std::cerr << "guavalockd: " << reason.text << '\n';
+        return exitSettings;
+    }
+    const sigset_t signals = blockStopSignals();
+    Log::start(settings->self.vm);
+    SiteDaemon daemon(*site, *settings);
+    return serve(daemon, signals);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
-    if (argc != 2) {
-        std::cerr << "usage: guavalockd SETTINGS.yaml\n";
+    const std::vector<std::string> args(argv + 1, argv + argc);
+    if (args.size() == 2 && args.front() == "--site") {
+        return serveSite(args.back());
+    }
+    if (args.size() != 1) {
+        std::cerr << "usage: guavalockd SETTINGS.yaml\n       guavalockd --site PLUGIN\n";
         return exitUsage;
     }
     SettingsErrors errors;
-    const std::optional<SettingsFile> file = SettingsFile::load(argv[1], errors);
+    const std::optional<SettingsFile> file = SettingsFile::load(args.front(), errors);
     const std::optional<ProcessSettings> settings = file ? file->process(errors) : std::nullopt;
     for (const SettingsError &it : errors) {
         std::cerr << it.text() << '\n';
@@ -62,5 +94,8 @@
     if (!settings || !errors.empty()) {
         return exitSettings;
     }
-    return serve(*settings);
+    const sigset_t signals = blockStopSignals();
+    Log::start(settings->vm);
+    Daemon daemon(*settings);
+    return serve(daemon, signals);
 }
--- /dev/null
+++ b/Source/Fleet/Catalogue.cpp
@@ -0,0 +1,94 @@
+#include "Fleet/Catalogue.h"
+
+#include "Decisions/Hash.h"
+
+#include <algorithm>
+
+namespace Guavalock
+{
+
+Catalogue::Catalogue(Content content)
+    : m_content(std::move(content))
+{
+    for (const RouteRecord &it : m_content.routes) {
+        m_byHost[it.host].push_back(&it);
+    }
+    for (auto &[host, routes] : m_byHost) {
+        std::ranges::stable_sort(routes, std::greater<>(), [](const RouteRecord *it) { return it->prefix.size(); });
+    }
+    for (const ServiceRecord &it : m_content.services) {
+        m_byService.emplace(it.name, &it);
+    }
+    for (const OrganisationRecord &it : m_content.organisations) {
+        for (const std::string &key : it.keys) {
+            m_byKey.emplace(key, &it);
+        }
+    }
+}
+
+std::uint64_t Catalogue::version() const
+{
+    return m_content.version;
+}
+
+const CallerLimits &Catalogue::limits() const
+{
+    return m_content.limits;
+}
+
+const RouteRecord *Catalogue::route(std::string_view host, std::string_view path) const
+{
+    const auto routes = m_byHost.find(host);
+    if (routes == m_byHost.end()) {
+        return nullptr;
+    }
+    const auto it = std::ranges::find_if(routes->second, [&](const RouteRecord *route) { return path.starts_with(route->prefix); });
+    return it == routes->second.end() ? nullptr : *it;
+}
+
+const ServiceRecord *Catalogue::service(const std::string &name) const
+{
+    const auto it = m_byService.find(name);
+    return it == m_byService.end() ? nullptr : it->second;
+}
+
+const OrganisationRecord *Catalogue::organisation(const std::string &key) const
+{
+    const auto it = m_byKey.find(key);
+    return it == m_byKey.end() ? nullptr : it->second;
+}
+
+bool Catalogue::hasOrganisations() const
+{
+    return !m_content.organisations.empty();
+}
+
+const std::string &Catalogue::serviceFor(const RouteRecord &route, const std::string &requestId) const
+{
+    static const std::string none;
+    if (route.services.empty()) {
+        return none;
+    }
+    std::uint64_t total = 0;
+    for (const auto &[name, weight] : route.services) {
+        total += weight;
+    }
+    if (total == 0) {
+        return route.services.front().first;
+    }
+    std::uint64_t point = Hash::of(requestId) % total;
+    for (const auto &[name, weight] : route.services) {
+        if (point < weight) {
+            return name;
+        }
+        point -= weight;
+    }
+    return route.services.back().first;
+}
+
+const std::vector<ServiceRecord> &Catalogue::services() const
+{
+    return m_content.services;
+}
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Fleet/FleetTable.cpp
@@ -0,0 +1,185 @@
+#include "Fleet/FleetTable.h"
+#include "Fleet/ColdSenders.h"
+
+#include "Decisions/Hash.h"
+#include "Fleet/ServiceRecord.h"
+#include "Fleet/TargetChooser.h"
+#include "Kernel/Registry.h"
+
+#include <algorithm>
+
+namespace Guavalock
+{
+
+namespace
+{
+
+constexpr std::chrono::seconds doubtTime{3}; ///< Cold time assumed where the service's own is not at hand.
+
+} // namespace
+
+FleetTable::FleetTable(std::string vm)
+    : m_vm(std::move(vm))
+    , m_choosers(Registry<TargetChooser>::instance().createAll())
+    , m_random(Hash::of(m_vm))
+{
+}
+
+FleetTable::~FleetTable() = default;
+
+bool FleetTable::renew(const TargetRecord &record, std::uint64_t offset, Clock::TimePoint now)
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto it = m_targets.find(record.id);
+    if (it == m_targets.end()) {
+        m_targets.emplace(record.id, TargetBelief(record, offset, now));
+        return true;
+    }
+    if (offset <= it->second.offset()) {
+        return false;
+    }
+    const TargetRecord &before = it->second.record();
+    const bool changed = before.draining != record.draining || before.born != record.born || before.address != record.address;
+    it->second.renew(record, offset, now);
+    return changed;
+}
+
+bool FleetTable::remove(const std::string &id, std::uint64_t offset)
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto it = m_targets.find(id);
+    if (it == m_targets.end() || offset < it->second.offset()) {
+        return false;
+    }
+    m_targets.erase(it);
+    return true;
+}
+
+void FleetTable::setEvacuated(const std::string &dataCentre, bool evacuated, Clock::TimePoint now)
+{
+    const std::scoped_lock lock(m_mutex);
+    if (evacuated) {
+        m_evacuated.insert(dataCentre);
+        return;
+    }
+    if (m_evacuated.erase(dataCentre) == 0) {
+        return;
+    }
+    for (auto &[id, target] : m_targets) {
+        if (target.record().dataCentre == dataCentre) {
+            target.doubt(doubtTime, now);
+        }
+    }
+}
+
+void FleetTable::setColdSenders(std::vector<std::string> members)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_coldSenders = std::move(members);
+}
+
+void FleetTable::doubtAll(Clock::TimePoint now)
+{
+    const std::scoped_lock lock(m_mutex);
+    for (auto &[id, target] : m_targets) {
+        target.doubt(doubtTime, now);
+    }
+}
+
+bool FleetTable::open(const TargetBelief &target) const
+{
+    return !target.record().draining && !m_evacuated.contains(target.record().dataCentre);
+}
+
+bool FleetTable::coldRoom(TargetBelief &target, const ServiceRecord &service, Clock::TimePoint now) const
+{
+    if (service.coldRate <= 0 || !target.cold(now)) {
+        return true;
+    }
+    return target.sentLately(now) < ColdSenders::share(target.record().id, service.coldRate, m_vm, m_coldSenders);
+}
+
+std::optional<TargetPick> FleetTable::choose(const TargetDemand &demand, const ServiceRecord &service, Clock::TimePoint now,
+                                             Reason &reason)
+{
+    const std::scoped_lock lock(m_mutex);
+    std::vector<TargetBelief *> found;
+    std::vector<TargetBelief *> suspects;
+    std::vector<TargetBelief *> tried;
+    std::size_t known = 0;
+    for (auto &[id, target] : m_targets) {
+        if (target.record().service != demand.service) {
+            continue;
+        }
+        ++known;
+        if (!open(target) || !coldRoom(target, service, now)) {
+            continue;
+        }
+        std::vector<TargetBelief *> &group = demand.avoid.contains(id) ? tried : target.suspect(now) ? suspects : found;
+        group.push_back(&target);
+    }
+    // Suspects and targets already tried are better than none.
+    const std::vector<TargetBelief *> &group = !found.empty() ? found : !suspects.empty() ? suspects : tried;
+    if (group.empty()) {
+        reason = {ResultCode::NoTarget, "none of " + std::to_string(known) + " known targets of service " + demand.service + " may be used"};
+        return std::nullopt;
+    }
+    std::vector<TargetChooser::Candidate> candidates;
+    candidates.reserve(group.size());
+    for (const TargetBelief *it : group) {
+        const bool near = demand.dataCentre.empty() || it->record().dataCentre == demand.dataCentre;
+        const double latency = std::chrono::duration<double>(it->typicalLatency()).count();
+        candidates.push_back({it->record().id, near, it->load(now), it->health(), latency});
+    }
+    const auto &chooser = m_choosers.at(demand.affinity != 0 ? "prompt-affinity" : "least-loaded");
+    TargetBelief &target = *group[chooser->choose(candidates, demand.affinity, m_random)];
+    target.sent(demand.promptTokens, now);
+    return TargetPick{target.record().id, target.record().address, target.record().dataCentre, demand.service};
+}
+
+void FleetTable::began(const std::string &id, std::size_t promptTokens)
+{
+    const std::scoped_lock lock(m_mutex);
+    if (const auto it = m_targets.find(id); it != m_targets.end()) {
+        it->second.began(promptTokens);
+    }
+}
+
+void FleetTable::ended(const std::string &id, const TargetReport &report, Clock::Duration coldTime, Clock::TimePoint now)
+{
+    const std::scoped_lock lock(m_mutex);
+    if (const auto it = m_targets.find(id); it != m_targets.end()) {
+        it->second.ended(report, coldTime, now);
+    }
+}
+
+std::vector<TargetPick> FleetTable::usable(const std::string &service, Clock::TimePoint now)
+{
+    const std::scoped_lock lock(m_mutex);
+    std::vector<TargetPick> found;
+    for (const auto &[id, target] : m_targets) {
+        const TargetRecord &record = target.record();
+        if (record.service == service && open(target) && !target.suspect(now)) {
+            found.push_back({id, record.address, record.dataCentre, service});
+        }
+    }
+    return found;
+}
+
+std::optional<TargetPick> FleetTable::at(const Endpoint &address)
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto it = std::ranges::find_if(m_targets, [&](const auto &target) { return target.second.record().address == address; });
+    if (it == m_targets.end()) {
+        return std::nullopt;
+    }
+    return TargetPick{it->first, address, it->second.record().dataCentre, it->second.record().service};
+}
+
+std::size_t FleetTable::size() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_targets.size();
+}
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Fleet/SendWindow.cpp
@@ -0,0 +1,24 @@
+#include "Fleet/SendWindow.h"
+
+namespace Guavalock
+{
+
+SendWindow::SendWindow(Clock::Duration span)
+    : m_span(span)
+{
+}
+
+void SendWindow::add(Clock::TimePoint now)
+{
+    m_events.push_back(now);
+}
+
+std::size_t SendWindow::count(Clock::TimePoint now)
+{
+    while (!m_events.empty() && m_events.front() <= now - m_span) {
+        m_events.pop_front();
+    }
+    return m_events.size();
+}
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Fleet/StageNode.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Guavalock
+{
+
+/// One stage of a route's graph.
+struct StageNode {
+    std::string service;
+    std::vector<std::size_t> after; ///< Indexes of the stages whose results it takes.
+    std::uint64_t resultBytes = 0; ///< Approximate size of one result.
+};
+
+} // namespace Guavalock
--- a/Source/Kernel/LockRank.h
+++ b/Source/Kernel/LockRank.h
@@ -13,9 +13,11 @@
     Organisations = 50,
     Requests = 60,
     Targets = 70,
+    Budgets = 75,
     Connections = 80,
     Accounts = 90,
     Metrics = 100,
+    Events = 110,
 };
 
 } // namespace Guavalock
--- a/Source/Kernel/Log.cpp
+++ b/Source/Kernel/Log.cpp
@@ -1,10 +1,18 @@
 #include "Kernel/Log.h"
 
+#include "Kernel/LogQueue.h"
+
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
-#include <log4cxx/patternlayout.h>
+#include <log4cxx/spi/loggingevent.h>
+
+#include <unistd.h>
 
+#include <array>
+#include <cstdio>
+#include <ctime>
+#include <memory>
 #include <mutex>
 
 namespace Guavalock
@@ -13,33 +21,86 @@
 namespace
 {
 
-std::string quoted(const std::string &value)
+std::string quoted(std::string_view text)
 {
-    if (!value.empty() && value.find_first_of(" \"=\n\r\t") == std::string::npos) {
-        return value;
-    }
     std::string buf = "\"";
-    for (const char it : value) {
+    for (const char it : text) {
         if (it == '"' || it == '\\') {
             buf += '\\';
+            buf += it;
+        } else if (static_cast<unsigned char>(it) < 0x20U) {
+            buf += ' ';
+        } else {
+            buf += it;
         }
-        buf += (it == '\n' || it == '\r') ? ' ' : it;
     }
     return buf + '"';
 }
 
-std::string line(std::string_view event, std::initializer_list<Log::Field> fields)
+std::string member(std::string_view key, std::string_view value)
+{
+    return ',' + quoted(key) + ':' + quoted(value);
+}
+
+std::string fieldsText(std::string_view event, std::initializer_list<Log::Field> fields)
 {
-    std::string buf = "event=" + std::string(event);
+    std::string buf = member("event", event);
     for (const Log::Field &it : fields) {
-        buf += ' ';
-        buf += it.key;
-        buf += '=';
-        buf += quoted(it.value);
+        if (!it.value.empty()) {
+            buf += member(it.key, it.value);
+        }
     }
     return buf;
 }
 
+/// Returns a time of day in UTC as ISO 8601 with milliseconds.
+std::string timeText(log4cxx::log4cxx_time_t microseconds)
+{
+    constexpr log4cxx::log4cxx_time_t perSecond = 1'000'000;
+    constexpr log4cxx::log4cxx_time_t perMillisecond = 1'000;
+    const auto seconds = static_cast<std::time_t>(microseconds / perSecond);
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    std::array<char, 40> buf{};
+    const std::size_t n = std::strftime(buf.data(), buf.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    const auto milliseconds = static_cast<int>(microseconds % perSecond / perMillisecond);
+    std::snprintf(buf.data() + n, buf.size() - n, ".%03dZ", milliseconds);
+    return buf.data();
+}
+
+/// Turns log events into lines of JSON on standard output, without waiting for its reader.
+class JsonLineAppender : public log4cxx::AppenderSkeleton
+{
+public:
+    explicit JsonLineAppender(std::string vm)
+        : m_vm(std::move(vm))
+        , m_queue(STDOUT_FILENO)
+    {
+    }
+
+    void append(const log4cxx::spi::LoggingEventPtr &event, log4cxx::helpers::Pool &) override
+    {
+        std::string level;
+        event->getLevel()->toString(level);
+        std::string line = "{\"time\":" + quoted(timeText(event->getTimeStamp()));
+        line += member("level", level) + member("vm", m_vm) + member("part", event->getLoggerName());
+        m_queue.push(line + event->getRenderedMessage() + "}\n");
+    }
+
+    void close() override
+    {
+    }
+
+    bool requiresLayout() const override
+    {
+        return false;
+    }
+
+private:
+    std::string m_vm;
+    LogQueue m_queue;
+};
+
 log4cxx::LoggerPtr logger(std::string_view part)
 {
     return log4cxx::Logger::getLogger(std::string(part));
@@ -50,22 +111,17 @@
 void Log::start(const std::string &vm)
 {
     static std::once_flag once;
-    std::call_once(once, [&] {
-        const std::string pattern = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSZ} %p vm=" + quoted(vm) + " part=%c %m%n";
-        const auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
-        const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
-        log4cxx::BasicConfigurator::configure(appender);
-    });
+    std::call_once(once, [&] { log4cxx::BasicConfigurator::configure(std::make_shared<JsonLineAppender>(vm)); });
 }
 
 void Log::state(std::string_view part, std::string_view event, std::initializer_list<Field> fields)
 {
-    LOG4CXX_INFO(logger(part), line(event, fields));
+    LOG4CXX_INFO(logger(part), fieldsText(event, fields));
 }
 
 void Log::warning(std::string_view part, std::string_view event, std::initializer_list<Field> fields)
 {
-    LOG4CXX_WARN(logger(part), line(event, fields));
+    LOG4CXX_WARN(logger(part), fieldsText(event, fields));
 }
 
 } // namespace Guavalock
--- a/Source/Kernel/Log.h
+++ b/Source/Kernel/Log.h
@@ -7,9 +7,10 @@
 namespace Guavalock
 {
 
-/// Writes one structured line for each change of state, through log4cxx, to standard error.
+/// Writes structured lines, one JSON object each, through log4cxx to standard output.
 ///
-/// Events that happen once a request are counted in Metrics and not logged. Values that hold blanks or quotes are quoted.
+/// One line for each decision that ends a request or changes what the daemon believes. Never waits for the reader; lines beyond a
+/// bound are dropped and counted.
 class Log
 {
 public:
@@ -21,7 +22,7 @@
     /// Sets the name that every line of this process carries. Call once, before the first line.
     static void start(const std::string &vm);
 
-    /// Writes `event=<event> key=value …` on behalf of one part of the program.
+    /// Writes an event of one part of the program. Fields without a value are left out.
     static void state(std::string_view part, std::string_view event, std::initializer_list<Field> fields);
 
     /// As state, for a change that an operator should look at.
--- /dev/null
+++ b/Source/Mesh/MeshCodec.cpp
@@ -0,0 +1,288 @@
+#include "Mesh/MeshCodec.h"
+
+#include <Mesh_generated.h>
+
+#include <algorithm>
+#include <array>
+
+namespace Guavalock
+{
+
+namespace
+{
+
+using Builder = flatbuffers::FlatBufferBuilder;
+
+constexpr std::size_t firstBufferBytes = 512;
+constexpr std::chrono::hours longestTime{1}; ///< Keeps arithmetic on times that a peer sent within bounds.
+
+MeshCodec::Bytes finish(Builder &builder, MeshWire::Body type, flatbuffers::Offset<void> body)
+{
+    builder.FinishSizePrefixed(MeshWire::CreateFrame(builder, type, body));
+    return {builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize()};
+}
+
+std::int64_t microsecondsTo(Clock::TimePoint time, Clock::TimePoint now)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(time - now).count();
+}
+
+Clock::TimePoint timeIn(std::int64_t microseconds, Clock::TimePoint now)
+{
+    constexpr std::int64_t longest = std::chrono::microseconds(longestTime).count();
+    return now + std::chrono::microseconds(std::clamp<std::int64_t>(microseconds, -longest, longest));
+}
+
+std::string text(const flatbuffers::String *it)
+{
+    return it == nullptr ? std::string() : it->str();
+}
+
+std::vector<std::string> texts(const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *list)
+{
+    std::vector<std::string> found;
+    if (list != nullptr) {
+        for (const flatbuffers::String *it : *list) {
+            found.push_back(text(it));
+        }
+    }
+    return found;
+}
+
+flatbuffers::Offset<MeshWire::Piece> writePiece(Builder &builder, const Piece &piece, Clock::TimePoint now)
+{
+    const auto inputs = builder.CreateVectorOfStrings(piece.inputs);
+    const auto id = builder.CreateString(piece.requestId);
+    const auto service = builder.CreateSharedString(piece.service);
+    const auto key = builder.CreateString(piece.key);
+    const auto dataCentre = builder.CreateSharedString(piece.inputDataCentre);
+    return MeshWire::CreatePiece(builder, piece.number, id, static_cast<std::uint16_t>(piece.stage),
+                                 static_cast<std::uint16_t>(piece.fragment), service, key, inputs, dataCentre, piece.inputBytes,
+                                 piece.resultBytes, piece.rank, microsecondsTo(piece.wantedBy, now), microsecondsTo(piece.deadline, now));
+}
+
+Piece readPiece(const MeshWire::Piece &wire, Clock::TimePoint now)
+{
+    Piece piece;
+    piece.number = wire.number();
+    piece.requestId = text(wire.request_id());
+    piece.stage = wire.stage();
+    piece.fragment = wire.fragment();
+    piece.service = text(wire.service());
+    piece.key = text(wire.key());
+    piece.inputs = texts(wire.inputs());
+    piece.inputDataCentre = text(wire.input_data_centre());
+    piece.inputBytes = wire.input_bytes();
+    piece.resultBytes = wire.result_bytes();
+    piece.rank = wire.rank();
+    piece.wantedBy = timeIn(wire.wanted_in_us(), now);
+    piece.deadline = timeIn(wire.left_us(), now);
+    return piece;
+}
+
+/// Decodes one kind of frame and calls its handler; false when a value is out of range.
+using Decoder = bool (*)(const MeshWire::Frame &frame, Clock::TimePoint now, const MeshHandlers &handlers);
+
+bool readHello(const MeshWire::Frame &frame, Clock::TimePoint, const MeshHandlers &handlers)
+{
+    const MeshWire::Hello &wire = *frame.body_as_Hello();
+    const std::optional<Endpoint> address = Endpoint::parse(text(wire.address()));
+    if (!address) {
+        return false;
+    }
+    if (handlers.hello) {
+        handlers.hello({text(wire.vm()), text(wire.data_centre()), *address, text(wire.incarnation()), wire.processor_share()});
+    }
+    return true;
+}
+
+bool readBeat(const MeshWire::Frame &frame, Clock::TimePoint, const MeshHandlers &handlers)
+{
+    if (handlers.beat) {
+        handlers.beat(frame.body_as_Beat()->draining());
+    }
+    return true;
+}
+
+bool readPieces(const MeshWire::Frame &frame, Clock::TimePoint now, const MeshHandlers &handlers)
+{
+    std::vector<Piece> pieces;
+    if (const auto *list = frame.body_as_Pieces()->pieces()) {
+        for (const MeshWire::Piece *it : *list) {
+            pieces.push_back(readPiece(*it, now));
+        }
+    }
+    if (handlers.pieces) {
+        handlers.pieces(std::move(pieces));
+    }
+    return true;
+}
+
+bool readResults(const MeshWire::Frame &frame, Clock::TimePoint, const MeshHandlers &handlers)
+{
+    constexpr auto lastEnd = static_cast<std::uint8_t>(PieceResult::End::Failed);
+    std::vector<PieceResult> results;
+    if (const auto *list = frame.body_as_Results()->results()) {
+        for (const MeshWire::Result *it : *list) {
+            if (it->end() > lastEnd) {
+                return false;
+            }
+            results.push_back({it->number(), static_cast<PieceResult::End>(it->end()), text(it->handle()), text(it->data_centre())});
+        }
+    }
+    if (handlers.results) {
+        handlers.results(std::move(results));
+    }
+    return true;
+}
+
+bool readCancel(const MeshWire::Frame &frame, Clock::TimePoint, const MeshHandlers &handlers)
+{
+    if (handlers.cancel) {
+        handlers.cancel(text(frame.body_as_Cancel()->request_id()));
+    }
+    return true;
+}
+
+bool readRelease(const MeshWire::Frame &frame, Clock::TimePoint, const MeshHandlers &handlers)
+{
+    if (handlers.release) {
+        handlers.release(texts(frame.body_as_Release()->handles()));
+    }
+    return true;
+}
+
+bool validTopic(std::uint8_t topic)
+{
+    return topic < allTopics.size();
+}
+
+bool readRecordsRequest(const MeshWire::Frame &frame, Clock::TimePoint, const MeshHandlers &handlers)
+{
+    const MeshWire::RecordsRequest &wire = *frame.body_as_RecordsRequest();
+    if (!validTopic(wire.topic())) {
+        return false;
+    }
+    if (handlers.recordsRequest) {
+        handlers.recordsRequest(static_cast<Topic>(wire.topic()), wire.from());
+    }
+    return true;
+}
+
+bool readRecords(const MeshWire::Frame &frame, Clock::TimePoint, const MeshHandlers &handlers)
+{
+    const MeshWire::Records &wire = *frame.body_as_Records();
+    if (!validTopic(wire.topic())) {
+        return false;
+    }
+    std::vector<KeyedRecord> records;
+    if (wire.records() != nullptr) {
+        for (const MeshWire::Record *it : *wire.records()) {
+            KeyedRecord record{text(it->key()), std::nullopt, it->offset()};
+            if (it->value() != nullptr) {
+                record.value.emplace(it->value()->begin(), it->value()->end());
+            }
+            records.push_back(std::move(record));
+        }
+    }
+    if (handlers.records) {
+        handlers.records(static_cast<Topic>(wire.topic()), wire.next(), std::move(records));
+    }
+    return true;
+}
+
+/// In the order of the schema's union, whose first value means no body.
+constexpr std::array<Decoder, 9> decoders{nullptr,    readHello,   readBeat,           readPieces, readResults,
+                                          readCancel, readRelease, readRecordsRequest, readRecords};
+
+} // namespace
+
+MeshCodec::Bytes MeshCodec::hello(const MemberRecord &self)
+{
+    Builder builder(firstBufferBytes);
+    const auto body = MeshWire::CreateHelloDirect(builder, self.vm.c_str(), self.dataCentre.c_str(), self.peerAddress.text().c_str(),
+                                                  self.incarnation.c_str(), self.processorShare);
+    return finish(builder, MeshWire::Body::Hello, body.Union());
+}
+
+MeshCodec::Bytes MeshCodec::beat(bool draining)
+{
+    Builder builder(firstBufferBytes);
+    return finish(builder, MeshWire::Body::Beat, MeshWire::CreateBeat(builder, draining).Union());
+}
+
+MeshCodec::Bytes MeshCodec::pieces(const std::vector<Piece> &pieces, Clock::TimePoint now)
+{
+    Builder builder(firstBufferBytes);
+    std::vector<flatbuffers::Offset<MeshWire::Piece>> list;
+    list.reserve(pieces.size());
+    for (const Piece &it : pieces) {
+        list.push_back(writePiece(builder, it, now));
+    }
+    return finish(builder, MeshWire::Body::Pieces, MeshWire::CreatePiecesDirect(builder, &list).Union());
+}
+
+MeshCodec::Bytes MeshCodec::results(const std::vector<PieceResult> &results)
+{
+    Builder builder(firstBufferBytes);
+    std::vector<flatbuffers::Offset<MeshWire::Result>> list;
+    list.reserve(results.size());
+    for (const PieceResult &it : results) {
+        list.push_back(MeshWire::CreateResultDirect(builder, it.number, static_cast<std::uint8_t>(it.end), it.handle.c_str(),
+                                                    it.dataCentre.c_str()));
+    }
+    return finish(builder, MeshWire::Body::Results, MeshWire::CreateResultsDirect(builder, &list).Union());
+}
+
+MeshCodec::Bytes MeshCodec::cancel(const std::string &requestId)
+{
+    Builder builder(firstBufferBytes);
+    return finish(builder, MeshWire::Body::Cancel, MeshWire::CreateCancelDirect(builder, requestId.c_str()).Union());
+}
+
+MeshCodec::Bytes MeshCodec::release(const std::vector<std::string> &handles)
+{
+    Builder builder(firstBufferBytes);
+    const auto list = builder.CreateVectorOfStrings(handles);
+    return finish(builder, MeshWire::Body::Release, MeshWire::CreateRelease(builder, list).Union());
+}
+
+MeshCodec::Bytes MeshCodec::recordsRequest(Topic topic, std::uint64_t from)
+{
+    Builder builder(firstBufferBytes);
+    const auto body = MeshWire::CreateRecordsRequest(builder, static_cast<std::uint8_t>(topic), from);
+    return finish(builder, MeshWire::Body::RecordsRequest, body.Union());
+}
+
+MeshCodec::Bytes MeshCodec::records(Topic topic, std::uint64_t next, const std::vector<KeyedRecord> &records)
+{
+    Builder builder(firstBufferBytes);
+    std::vector<flatbuffers::Offset<MeshWire::Record>> list;
+    list.reserve(records.size());
+    for (const KeyedRecord &it : records) {
+        flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> value;
+        if (it.value) {
+            value = builder.CreateVector(reinterpret_cast<const std::uint8_t *>(it.value->data()), it.value->size());
+        }
+        const auto key = builder.CreateString(it.key);
+        list.push_back(MeshWire::CreateRecord(builder, key, value, it.offset));
+    }
+    const auto body = MeshWire::CreateRecordsDirect(builder, static_cast<std::uint8_t>(topic), next, &list);
+    return finish(builder, MeshWire::Body::Records, body.Union());
+}
+
+bool MeshCodec::read(const Bytes &frame, Clock::TimePoint now, const MeshHandlers &handlers)
+{
+    flatbuffers::Verifier verifier(frame.data(), frame.size());
+    if (!verifier.VerifySizePrefixedBuffer<MeshWire::Frame>(nullptr)) {
+        return false;
+    }
+    const MeshWire::Frame &root = *flatbuffers::GetSizePrefixedRoot<MeshWire::Frame>(frame.data());
+    const auto type = static_cast<std::size_t>(root.body_type());
+    if (type == 0 || type >= decoders.size() || root.body() == nullptr) {
+        return false;
+    }
+    return decoders.at(type)(root, now, handlers);
+}
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Mesh/MeshCodec.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "Kernel/Clock.h"
+#include "Mesh/MeshHandlers.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace Guavalock
+{
+
+/// The wire form of frames between daemons. Times cross as what is left of them, so that clocks need not agree.
+class MeshCodec
+{
+public:
+    using Bytes = std::vector<std::uint8_t>;
+
+    static Bytes hello(const MemberRecord &self);
+    static Bytes beat(bool draining);
+    static Bytes pieces(const std::vector<Piece> &pieces, Clock::TimePoint now);
+    static Bytes results(const std::vector<PieceResult> &results);
+    static Bytes cancel(const std::string &requestId);
+    static Bytes release(const std::vector<std::string> &handles);
+    static Bytes recordsRequest(Topic topic, std::uint64_t from);
+    static Bytes records(Topic topic, std::uint64_t next, const std::vector<KeyedRecord> &records);
+
+    /// Decodes a frame and calls its handler. Returns false for bytes that are no valid frame.
+    static bool read(const Bytes &frame, Clock::TimePoint now, const MeshHandlers &handlers);
+};
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Mesh/MeshHandlers.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "Batching/Piece.h"
+#include "Batching/PieceResult.h"
+#include "Fleet/KeyedRecord.h"
+#include "Fleet/MemberRecord.h"
+#include "Fleet/Topic.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace Guavalock
+{
+
+/// What a frame of another daemon leads to. Handlers that are not set ignore their frames.
+struct MeshHandlers {
+    std::function<void(const MemberRecord &)> hello;
+    std::function<void(bool draining)> beat;
+    std::function<void(std::vector<Piece>)> pieces;
+    std::function<void(std::vector<PieceResult>)> results;
+    std::function<void(const std::string &requestId)> cancel;
+    std::function<void(std::vector<std::string> handles)> release;
+    std::function<void(Topic, std::uint64_t from)> recordsRequest;
+    std::function<void(Topic, std::uint64_t next, std::vector<KeyedRecord>)> records;
+};
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Mesh/MeshNetwork.cpp
@@ -0,0 +1,267 @@
+#include "Mesh/MeshNetwork.h"
+
+#include "Decisions/Backoff.h"
+#include "Decisions/Hash.h"
+#include "Flow/DeadlineTimer.h"
+#include "Kernel/Log.h"
+#include "Mesh/Roster.h"
+#include "Net/Connection.h"
+#include "Peer/FrameChannel.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace Guavalock
+{
+
+namespace Asio = boost::asio;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds beatInterval{500}; ///< A third of the silence after which a daemon gets no new work.
+constexpr std::chrono::milliseconds inboundSilence{5'000}; ///< A link without heartbeats for this long is dropped.
+constexpr std::chrono::milliseconds dialTimeout{800}; ///< Far above a round trip; a lost opening packet is sent again after a second.
+constexpr std::chrono::milliseconds firstPause{200}; ///< Between tries to dial.
+constexpr std::chrono::milliseconds longestPause{2'000}; ///< A daemon that returns is linked within this time.
+constexpr std::size_t askedForRecords = 2; ///< Daemons asked at a time; one may lack the records as well.
+
+} // namespace
+
+MeshNetwork::MeshNetwork(Asio::any_io_executor executor, const Clock &clock, Roster &roster)
+    : m_executor(std::move(executor))
+    , m_strand(Asio::make_strand(m_executor))
+    , m_clock(clock)
+    , m_roster(roster)
+    , m_acceptor(m_executor, roster.self().peerAddress,
+                 [this](Acceptor::Socket socket) {
+                     auto channel = std::make_shared<FrameChannel>(std::move(socket));
+                     Asio::co_spawn(channel->strand(), serve(channel), Asio::detached);
+                 })
+    , m_random(Hash::of(roster.self().incarnation))
+{
+}
+
+MeshNetwork::~MeshNetwork() = default;
+
+void MeshNetwork::start(Events events)
+{
+    m_events = std::move(events);
+    m_acceptor.start();
+    Asio::co_spawn(m_strand, beat(), Asio::detached);
+}
+
+void MeshNetwork::stop()
+{
+    m_stopped = true;
+    m_acceptor.stop();
+}
+
+void MeshNetwork::startDraining()
+{
+    m_draining = true;
+    const std::scoped_lock lock(m_mutex);
+    for (const auto &[vm, link] : m_links) {
+        link.channel->send(MeshCodec::beat(true));
+    }
+}
+
+void MeshNetwork::dial(const Endpoint &endpoint)
+{
+    if (endpoint == m_roster.self().peerAddress) {
+        return;
+    }
+    Asio::post(m_strand, [this, endpoint] {
+        if (m_dialled.emplace(endpoint.text(), true).second) {
+            Asio::co_spawn(m_strand, keepLink(endpoint), Asio::detached);
+        }
+    });
+}
+
+Asio::awaitable<std::shared_ptr<FrameChannel>> MeshNetwork::connect(const Endpoint &endpoint)
+{
+    Connection connection(Asio::make_strand(m_executor), endpoint);
+    const DeadlineTimer timer(m_strand, m_clock.now() + dialTimeout, [&connection] { connection.close(); });
+    const bool connected = co_await connection.connect();
+    if (!connected) {
+        co_return nullptr;
+    }
+    co_return std::make_shared<FrameChannel>(std::move(connection.socket()));
+}
+
+Asio::awaitable<void> MeshNetwork::keepLink(Endpoint endpoint)
+{
+    Backoff backoff(firstPause, longestPause);
+    Asio::steady_timer timer(m_strand);
+    while (!m_stopped) {
+        const std::shared_ptr<FrameChannel> channel = co_await connect(endpoint);
+        if (channel) {
+            backoff.reset();
+            co_await Asio::co_spawn(channel->strand(), holdLink(channel, endpoint), Asio::use_awaitable);
+        }
+        timer.expires_after(backoff.next(m_random));
+        co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
+    }
+}
+
+Asio::awaitable<void> MeshNetwork::holdLink(std::shared_ptr<FrameChannel> channel, Endpoint endpoint)
+{
+    channel->send(MeshCodec::hello(m_roster.self()));
+    channel->send(MeshCodec::beat(m_draining));
+    std::string vm;
+    MeshHandlers handlers;
+    handlers.hello = [&](const MemberRecord &member) {
+        vm = member.vm;
+        m_roster.learn(member);
+        linkUp(vm, {channel, endpoint});
+    };
+    while (true) {
+        const auto frame = co_await channel->read();
+        if (!frame || !MeshCodec::read(*frame, m_clock.now(), handlers)) {
+            break;
+        }
+    }
+    channel->close();
+    if (!vm.empty()) {
+        linkDown(vm, channel);
+    }
+}
+
+void MeshNetwork::linkUp(const std::string &vm, Link link)
+{
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_links[vm] = std::move(link);
+    }
+    m_roster.linked(vm, true);
+    Log::state("mesh", "link-up", {{"peer", vm}});
+}
+
+void MeshNetwork::linkDown(const std::string &vm, const std::shared_ptr<FrameChannel> &channel)
+{
+    {
+        const std::scoped_lock lock(m_mutex);
+        const auto it = m_links.find(vm);
+        if (it == m_links.end() || it->second.channel != channel) {
+            return;
+        }
+        m_links.erase(it);
+    }
+    m_roster.linked(vm, false);
+    Log::warning("mesh", "link-down", {{"peer", vm}});
+}
+
+MeshHandlers MeshNetwork::handlersFor(const std::shared_ptr<std::string> &vm)
+{
+    MeshHandlers handlers;
+    handlers.hello = [this, vm](const MemberRecord &member) {
+        *vm = member.vm;
+        if (m_roster.learn(member)) {
+            Log::state("mesh", "member", {{"vm", member.vm}, {"incarnation", member.incarnation}, {"source", "peer"}});
+        }
+        dial(member.peerAddress);
+    };
+    handlers.beat = [this, vm](bool draining) { m_roster.heard(*vm, draining, m_clock.now()); };
+    handlers.pieces = [this, vm](std::vector<Piece> pieces) { m_events.pieces(*vm, std::move(pieces)); };
+    handlers.results = m_events.results;
+    handlers.cancel = [this, vm](const std::string &requestId) { m_events.cancel(*vm, requestId); };
+    handlers.release = m_events.release;
+    handlers.recordsRequest = [this, vm](Topic topic, std::uint64_t from) { m_events.recordsRequest(*vm, topic, from); };
+    handlers.records = m_events.records;
+    return handlers;
+}
+
+Asio::awaitable<void> MeshNetwork::serve(std::shared_ptr<FrameChannel> channel)
+{
+    channel->send(MeshCodec::hello(m_roster.self()));
+    const auto vm = std::make_shared<std::string>();
+    const MeshHandlers handlers = handlersFor(vm);
+    while (true) {
+        const DeadlineTimer silence(channel->strand(), m_clock.now() + inboundSilence, [channel] { channel->close(); });
+        const auto frame = co_await channel->read();
+        if (!frame || !MeshCodec::read(*frame, m_clock.now(), handlers)) {
+            break;
+        }
+    }
+    channel->close();
+}
+
+Asio::awaitable<void> MeshNetwork::beat()
+{
+    Asio::steady_timer timer(m_strand);
+    while (!m_stopped) {
+        {
+            const std::scoped_lock lock(m_mutex);
+            for (const auto &[vm, link] : m_links) {
+                link.channel->send(MeshCodec::beat(m_draining));
+            }
+        }
+        timer.expires_after(beatInterval);
+        co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
+    }
+}
+
+bool MeshNetwork::send(const std::string &vm, MeshCodec::Bytes frame)
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto it = m_links.find(vm);
+    if (it == m_links.end()) {
+        return false;
+    }
+    it->second.channel->send(std::move(frame));
+    return true;
+}
+
+bool MeshNetwork::sendPieces(const std::string &vm, const std::vector<Piece> &pieces)
+{
+    return send(vm, MeshCodec::pieces(pieces, m_clock.now()));
+}
+
+void MeshNetwork::sendResults(const std::string &vm, const std::vector<PieceResult> &results)
+{
+    send(vm, MeshCodec::results(results));
+}
+
+void MeshNetwork::sendCancel(const std::string &vm, const std::string &requestId)
+{
+    send(vm, MeshCodec::cancel(requestId));
+}
+
+void MeshNetwork::sendRelease(const std::string &vm, const std::vector<std::string> &handles)
+{
+    send(vm, MeshCodec::release(handles));
+}
+
+void MeshNetwork::requestRecords(Topic topic, std::uint64_t from)
+{
+    const std::scoped_lock lock(m_mutex);
+    std::vector<const Link *> links;
+    for (const auto &[vm, link] : m_links) {
+        links.push_back(&link);
+    }
+    for (std::size_t it = 0; it < askedForRecords && !links.empty(); ++it) {
+        const auto chosen = links.begin() + static_cast<std::ptrdiff_t>(m_random() % links.size());
+        (*chosen)->channel->send(MeshCodec::recordsRequest(topic, from));
+        links.erase(chosen);
+    }
+}
+
+void MeshNetwork::sendRecords(const std::string &vm, Topic topic, std::uint64_t next, const std::vector<KeyedRecord> &records)
+{
+    send(vm, MeshCodec::records(topic, next, records));
+}
+
+void MeshNetwork::broadcastRecords(Topic topic, std::uint64_t next, const std::vector<KeyedRecord> &records)
+{
+    const std::scoped_lock lock(m_mutex);
+    for (const auto &[vm, link] : m_links) {
+        link.channel->send(MeshCodec::records(topic, next, records));
+    }
+}
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Mesh/Roster.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "Fleet/MemberRecord.h"
+#include "Kernel/Clock.h"
+#include "Kernel/RankedMutex.h"
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Guavalock
+{
+
+/// The daemons of the fleet as this one knows them. Rank Members.
+class Roster
+{
+public:
+    /// A daemon not heard from for this long gets no new work: three heartbeats.
+    static constexpr std::chrono::milliseconds silenceLimit{1'600};
+
+    explicit Roster(MemberRecord self);
+
+    const MemberRecord &self() const;
+
+    /// Learns of a daemon, or of its new incarnation. Returns whether that is news.
+    bool learn(const MemberRecord &member);
+
+    /// Forgets a daemon that has left.
+    void forget(const std::string &vm);
+
+    /// The daemon has sent something.
+    void heard(const std::string &vm, bool draining, Clock::TimePoint now);
+
+    /// The link to the daemon came up or went down.
+    void linked(const std::string &vm, bool up);
+
+    /// Returns the daemons that can be given work, this one included.
+    std::vector<MemberRecord> live(Clock::TimePoint now) const;
+
+    /// Returns the live daemon that batches the pieces of a service: the highest hash, weighted by its share of a processor.
+    std::string owner(const std::string &service, Clock::TimePoint now) const;
+
+    bool isLive(const std::string &vm, Clock::TimePoint now) const;
+
+    std::vector<MemberRecord> known() const;
+
+private:
+    struct Member {
+        MemberRecord record;
+        Clock::TimePoint heard{};
+        bool linked = false;
+        bool draining = false;
+    };
+
+    bool usable(const Member &member, Clock::TimePoint now) const;
+
+    MemberRecord m_self;
+    mutable RankedMutex m_mutex{LockRank::Members};
+    std::map<std::string, Member> m_members;
+};
+
+} // namespace Guavalock
--- a/Source/Net/Connection.cpp
+++ b/Source/Net/Connection.cpp
@@ -3,6 +3,9 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <chrono>
+
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace Guavalock
@@ -10,6 +13,20 @@
 
 namespace Asio = boost::asio;
 
+namespace
+{
+
+/// A connection whose bytes are not acknowledged for this long is broken: links that fall silent are found by time only.
+constexpr std::chrono::milliseconds unacknowledgedLimit{3'000};
+
+void limitSilence(Asio::ip::tcp::socket &socket)
+{
+    const auto limit = static_cast<unsigned>(unacknowledgedLimit.count());
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
+}
+
+} // namespace
+
 Connection::Connection(const Asio::any_io_executor &executor, Endpoint endpoint)
     : m_endpoint(std::move(endpoint))
     , m_socket(executor)
@@ -25,6 +42,7 @@
     }
     boost::system::error_code ignored;
     m_socket.set_option(Asio::ip::tcp::no_delay(true), ignored);
+    limitSilence(m_socket);
     co_return true;
 }
 
--- a/Source/Net/HttpCaller.cpp
+++ b/Source/Net/HttpCaller.cpp
@@ -38,16 +38,52 @@
         m_connection = std::make_unique<Connection>(m_strand, m_endpoint);
     }
     const DeadlineTimer timer(m_strand, Clock::TimePoint::clock::now() + timeout, [this] { m_connection->close(); });
+    m_failure = Failure::None;
     std::optional<Answer> answer = co_await exchange(request);
     if (!answer) {
         m_connection->close();
+        m_failure = m_failure == Failure::NotConnected ? m_failure : timer.expired() ? Failure::TimedOut : Failure::Broken;
     }
     co_return answer;
 }
 
+Asio::awaitable<std::optional<HttpCaller::Answer>> HttpCaller::call(Request request, std::chrono::milliseconds connectTimeout,
+                                                                    std::chrono::milliseconds timeout)
+{
+    m_connectTimeout = connectTimeout;
+    co_return co_await call(std::move(request), timeout);
+}
+
+HttpCaller::Failure HttpCaller::failure() const
+{
+    return m_failure;
+}
+
+void HttpCaller::close()
+{
+    if (m_connection) {
+        m_connection->close();
+    }
+}
+
+Asio::awaitable<bool> HttpCaller::connected()
+{
+    if (m_connection->socket().is_open()) {
+        co_return true;
+    }
+    std::optional<DeadlineTimer> limit;
+    if (m_connectTimeout) {
+        limit.emplace(m_strand, Clock::TimePoint::clock::now() + *m_connectTimeout, [this] { m_connection->close(); });
+    }
+    const bool done = co_await m_connection->connect();
+    m_failure = done ? Failure::None : Failure::NotConnected;
+    co_return done;
+}
+
 Asio::awaitable<std::optional<HttpCaller::Answer>> HttpCaller::exchange(const Request &request)
 {
-    if (!m_connection->socket().is_open() && !co_await m_connection->connect()) {
+    const bool open = co_await connected();
+    if (!open) {
         co_return std::nullopt;
     }
     Http::request<Http::string_body> message(Http::string_to_verb(request.method), request.path, httpVersion);
--- /dev/null
+++ b/Source/Relay/RelayFrontEnd.cpp
@@ -0,0 +1,46 @@
+#include "Relay/RelayFrontEnd.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace Guavalock
+{
+
+namespace Asio = boost::asio;
+
+RelayFrontEnd::RelayFrontEnd(const RelayParts &parts, Asio::any_io_executor executor, const Endpoint &endpoint)
+    : m_parts(parts)
+    , m_acceptor(std::move(executor), endpoint, [this](Acceptor::Socket socket) {
+        const Asio::any_io_executor strand = socket.get_executor();
+        Asio::co_spawn(strand, serve(std::move(socket)), Asio::detached);
+    })
+{
+}
+
+void RelayFrontEnd::start()
+{
+    m_acceptor.start();
+}
+
+void RelayFrontEnd::startDraining()
+{
+    m_gate.draining = true;
+}
+
+void RelayFrontEnd::stopAccepting()
+{
+    m_acceptor.stop();
+}
+
+std::size_t RelayFrontEnd::requests() const
+{
+    return m_gate.requests;
+}
+
+Asio::awaitable<void> RelayFrontEnd::serve(Acceptor::Socket socket)
+{
+    RelaySession session(m_parts, std::move(socket), m_gate);
+    co_await session.run();
+}
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Relay/RelayParts.h
@@ -0,0 +1,27 @@
+#pragma once
+
+namespace Guavalock
+{
+
+class CatalogueTable;
+class Clock;
+class ConnectionTable;
+class FleetTable;
+class Metrics;
+class PieceRouter;
+class RelayCodec;
+class RepeatBudget;
+
+/// What relayed requests share. Every reference outlives the worker pool.
+struct RelayParts {
+    const Clock &clock;
+    CatalogueTable &catalogue;
+    FleetTable &fleet;
+    ConnectionTable &connections;
+    RepeatBudget &budget;
+    PieceRouter &pieces;
+    const RelayCodec &codec;
+    Metrics &metrics;
+};
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Relay/RelaySession.cpp
@@ -0,0 +1,266 @@
+#include "Relay/RelaySession.h"
+
+#include "Fleet/Catalogue.h"
+#include "Fleet/CatalogueTable.h"
+#include "Flow/Cancellation.h"
+#include "Flow/DeadlineTimer.h"
+#include "FrontEnds/RefusalJson.h"
+#include "Kernel/Counter.h"
+#include "Kernel/Metrics.h"
+#include "Relay/RelayCodec.h"
+#include "Relay/RelayJob.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/status.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <sys/socket.h>
+
+#include <array>
+#include <cstdio>
+
+
+namespace Guavalock
+{
+
+namespace Asio = boost::asio;
+namespace Http = boost::beast::http;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds bodyTimeout{10'000}; ///< For a request body to arrive; callers on this network need milliseconds.
+
+std::string chunk(const std::string &data)
+{
+    std::array<char, 20> size{};
+    const int n = std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
+    return std::string(size.data(), static_cast<std::size_t>(n)) + data + "\r\n";
+}
+
+} // namespace
+
+RelaySession::RelaySession(const RelayParts &parts, Asio::ip::tcp::socket socket, Gate &gate)
+    : m_parts(parts)
+    , m_socket(std::move(socket))
+    , m_gate(gate)
+{
+    boost::system::error_code ignored;
+    m_socket.set_option(Asio::ip::tcp::no_delay(true), ignored);
+    ++m_gate.connections;
+}
+
+RelaySession::~RelaySession()
+{
+    --m_gate.connections;
+}
+
+bool RelaySession::closing() const
+{
+    return !m_keepAlive || m_gate.draining;
+}
+
+Asio::awaitable<void> RelaySession::run()
+{
+    while (m_keepAlive && m_socket.is_open()) {
+        std::optional<OpaqueRequest> request = co_await readRequest();
+        if (!request) {
+            break;
+        }
+        ++m_gate.requests;
+        co_await serve(std::move(*request));
+        --m_gate.requests;
+        if (m_gate.draining) {
+            break;
+        }
+    }
+    boost::system::error_code ignored;
+    m_socket.shutdown(Asio::ip::tcp::socket::shutdown_send, ignored);
+    m_socket.close(ignored);
+}
+
+Asio::awaitable<bool> RelaySession::waitForRequest()
+{
+    if (m_buffer.size() > 0) {
+        co_return true;
+    }
+    const std::shared_ptr<const Catalogue> catalogue = m_parts.catalogue.current();
+    const CallerLimits limits = catalogue ? catalogue->limits() : CallerLimits();
+    const DeadlineTimer idle(m_socket.get_executor(), m_parts.clock.now() + limits.idleTimeout, [this] { m_socket.close(); });
+    const auto [ec] = co_await m_socket.async_wait(Asio::ip::tcp::socket::wait_read, Asio::as_tuple(Asio::use_awaitable));
+    co_return !ec && m_socket.is_open();
+}
+
+Asio::awaitable<bool> RelaySession::refuseInput(ResultCode code, std::string reason)
+{
+    m_keepAlive = false;
+    const Refusal refusal = Refusal::of(code, RunState::No, std::move(reason));
+    co_return co_await refuse(refusal);
+}
+
+Asio::awaitable<bool> RelaySession::readBody(Parser &parser)
+{
+    if (parser.is_done()) {
+        co_return true;
+    }
+    if (parser.get()[Http::field::expect] == "100-continue") {
+        co_await write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    const DeadlineTimer timer(m_socket.get_executor(), m_parts.clock.now() + bodyTimeout, [this] { m_socket.close(); });
+    const auto [ec, n] = co_await Http::async_read(m_socket, m_buffer, parser, Asio::as_tuple(Asio::use_awaitable));
+    if (ec == Http::error::body_limit) {
+        co_await refuseInput(ResultCode::BodyTooLarge, "the body exceeds the limit");
+    } else if (ec && ec.category() == Http::make_error_code(Http::error::bad_value).category() && ec != Http::error::partial_message) {
+        co_await refuseInput(ResultCode::MalformedRequest, ec.message());
+    }
+    co_return !ec;
+}
+
+Asio::awaitable<std::optional<OpaqueRequest>> RelaySession::readRequest()
+{
+    const bool waiting = co_await waitForRequest();
+    if (!waiting) {
+        co_return std::nullopt;
+    }
+    const std::shared_ptr<const Catalogue> catalogue = m_parts.catalogue.current();
+    const CallerLimits limits = catalogue ? catalogue->limits() : CallerLimits();
+    const Clock::TimePoint arrived = m_parts.clock.now();
+    Parser parser;
+    parser.header_limit(limits.headerBytes);
+    parser.body_limit(limits.bodyBytes);
+    {
+        const DeadlineTimer timer(m_socket.get_executor(), arrived + limits.headerTimeout, [this] { m_socket.close(); });
+        const auto [ec, n] = co_await Http::async_read_header(m_socket, m_buffer, parser, Asio::as_tuple(Asio::use_awaitable));
+        if (ec == Http::error::header_limit || ec == Http::error::buffer_overflow) {
+            co_await refuseInput(ResultCode::HeaderTooLarge, "the headers exceed the limit");
+            co_return std::nullopt;
+        }
+        if (ec == Http::error::body_limit) {
+            co_await refuseInput(ResultCode::BodyTooLarge, "the body exceeds the limit");
+            co_return std::nullopt;
+        }
+        if (ec) {
+            if (m_socket.is_open() && ec != Http::error::end_of_stream && ec != Http::error::partial_message
+                && ec.category() == Http::make_error_code(Http::error::bad_value).category()) {
+                co_await refuseInput(ResultCode::MalformedRequest, ec.message());
+            }
+            co_return std::nullopt;
+        }
+    }
+    m_keepAlive = parser.keep_alive();
+    const bool read = co_await readBody(parser);
+    if (!read) {
+        co_return std::nullopt;
+    }
+    Reason reason;
+    std::optional<OpaqueRequest> request = m_parts.codec.request(parser.get().base(), reason);
+    if (!request) {
+        co_await refuseInput(reason.code, reason.text);
+        co_return std::nullopt;
+    }
+    request->body = std::move(parser.get().body());
+    request->arrived = arrived;
+    co_return request;
+}
+
+Asio::awaitable<void> RelaySession::serve(OpaqueRequest request)
+{
+    const auto cancellation = std::make_shared<Cancellation>(m_socket.get_executor());
+    const std::shared_ptr<Watch> watch = watchForClose(cancellation);
+    RelayJob job(m_parts, std::move(request), *this, *cancellation);
+    co_await job.run();
+    watch->live = false;
+    boost::system::error_code ignored;
+    m_socket.cancel(ignored);
+}
+
+std::shared_ptr<RelaySession::Watch> RelaySession::watchForClose(const std::shared_ptr<Cancellation> &cancellation)
+{
+    auto watch = std::make_shared<Watch>();
+    m_socket.async_wait(
+        Asio::ip::tcp::socket::wait_read,
+        Asio::bind_executor(m_socket.get_executor(), [this, watch, cancellation](const boost::system::error_code &ec) {
+            if (!ec && watch->live && callerClosed()) {
+                cancellation->cancel(RefusalCause::CallerClosed);
+            }
+        }));
+    return watch;
+}
+
+bool RelaySession::callerClosed()
+{
+    char byte = 0;
+    const ssize_t n = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+std::string RelaySession::headText(unsigned status, const HttpFields &fields) const
+{
+    const auto reason = Http::obsolete_reason(static_cast<Http::status>(status));
+    std::string text = "HTTP/1.1 " + std::to_string(status) + ' ' + std::string(reason) + "\r\n";
+    for (const auto &[name, value] : fields) {
+        text += name + ": " + value + "\r\n";
+    }
+    if (closing()) {
+        text += "Connection: close\r\n";
+    }
+    return text;
+}
+
+Asio::awaitable<bool> RelaySession::write(std::string text)
+{
+    const auto [ec, n] = co_await Asio::async_write(m_socket, Asio::buffer(text), Asio::as_tuple(Asio::use_awaitable));
+    if (ec) {
+        m_keepAlive = false;
+    }
+    co_return !ec;
+}
+
+Asio::awaitable<bool> RelaySession::whole(const AnswerHead &head, const std::string &body)
+{
+    co_return co_await write(headText(head.status, head.headers) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+}
+
+Asio::awaitable<bool> RelaySession::begin(const AnswerHead &head)
+{
+    m_unsent = headText(head.status, head.headers) + "Transfer-Encoding: chunked\r\n\r\n";
+    co_return m_socket.is_open();
+}
+
+Asio::awaitable<bool> RelaySession::part(const std::string &data)
+{
+    const std::string text = std::exchange(m_unsent, {}) + chunk(data);
+    co_return co_await write(text);
+}
+
+Asio::awaitable<bool> RelaySession::end()
+{
+    const std::string text = std::exchange(m_unsent, {}) + "0\r\n\r\n";
+    co_return co_await write(text);
+}
+
+Asio::awaitable<bool> RelaySession::refuse(const Refusal &refusal)
+{
+    HttpFields fields{{"Content-Type", "application/json"}};
+    if (refusal.retryAfter) {
+        fields.emplace_back("Retry-After", std::to_string(std::chrono::duration<double>(*refusal.retryAfter).count()));
+    }
+    const std::string body = boost::json::serialize(RefusalJson::of(refusal, {}));
+    const unsigned status = m_parts.codec.status(refusal);
+    co_return co_await write(headText(status, fields) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+}
+
+void RelaySession::cut()
+{
+    m_keepAlive = false;
+    boost::system::error_code ignored;
+    m_socket.set_option(Asio::socket_base::linger(true, 0), ignored);
+    m_socket.close(ignored);
+}
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Relay/UpstreamExchange.cpp
@@ -0,0 +1,109 @@
+#include "Relay/UpstreamExchange.h"
+
+#include "Flow/DeadlineTimer.h"
+#include "Net/Connection.h"
+#include "Relay/RelayCodec.h"
+#include "Targets/ConnectionTable.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+namespace Guavalock
+{
+
+namespace Asio = boost::asio;
+namespace Http = boost::beast::http;
+
+namespace
+{
+
+constexpr std::uint64_t maxAnswerBytes = 64ULL * 1024 * 1024; ///< Far above any answer; bounds what a faulty target can make us hold.
+
+} // namespace
+
+UpstreamExchange::UpstreamExchange(ConnectionTable &connections, const RelayCodec &codec, Asio::any_io_executor strand)
+    : m_connections(connections)
+    , m_codec(codec)
+    , m_strand(std::move(strand))
+{
+}
+
+UpstreamExchange::~UpstreamExchange() = default;
+
+Asio::awaitable<bool> UpstreamExchange::open(const Endpoint &endpoint, bool mayReuse, Clock::TimePoint until)
+{
+    m_parser.reset();
+    m_sent = false;
+    m_connection = mayReuse ? m_connections.takeIdle(endpoint) : nullptr;
+    m_reused = m_connection != nullptr;
+    if (m_reused) {
+        co_return true;
+    }
+    m_connection = m_connections.create(endpoint);
+    const DeadlineTimer timer(m_strand, until, [this] { m_connection->close(); });
+    const bool connected = co_await m_connection->connect();
+    co_return connected && !m_closed;
+}
+
+bool UpstreamExchange::reused() const
+{
+    return m_reused;
+}
+
+Asio::awaitable<bool> UpstreamExchange::send(std::string text)
+{
+    const auto [ec, n] = co_await Asio::async_write(m_connection->socket(), Asio::buffer(text), Asio::as_tuple(Asio::use_awaitable));
+    m_sent = !ec;
+    co_return m_sent;
+}
+
+Asio::awaitable<std::optional<AnswerHead>> UpstreamExchange::head()
+{
+    m_parser.emplace();
+    m_parser->body_limit(maxAnswerBytes);
+    const auto [ec, n] = co_await Http::async_read_header(m_connection->socket(), m_connection->buffer(), *m_parser,
+                                                          Asio::as_tuple(Asio::use_awaitable));
+    if (ec) {
+        co_return std::nullopt;
+    }
+    co_return m_codec.answer(m_parser->get().base());
+}
+
+Asio::awaitable<UpstreamExchange::Progress> UpstreamExchange::read(std::string &data)
+{
+    if (!m_parser->is_done()) {
+        auto [ec, n] = co_await Http::async_read_some(m_connection->socket(), m_connection->buffer(), *m_parser,
+                                                      Asio::as_tuple(Asio::use_awaitable));
+        if (ec) {
+            co_return Progress::Broken;
+        }
+    }
+    std::string &body = m_parser->get().body();
+    data += body;
+    body.clear();
+    co_return m_parser->is_done() ? Progress::End : Progress::More;
+}
+
+void UpstreamExchange::finish()
+{
+    const bool complete = m_sent && m_parser && m_parser->is_done() && m_parser->keep_alive();
+    if (!complete || m_closed || !m_connection->reusable()) {
+        close();
+        return;
+    }
+    m_connections.giveBack(std::move(m_connection));
+    m_connection = nullptr;
+}
+
+void UpstreamExchange::close()
+{
+    m_closed = true;
+    if (m_connection) {
+        m_connection->close();
+    }
+}
+
+} // namespace Guavalock
