Free stage results as soon as they are used; make stages near the prompt's engine

Ruled out: larger room estimates (the engines state their own). Change: a stage's results are freed when all takers are made; the model engine is chosen by prompt affinity and stages are made near it; requests after the notice time of a stop are refused as not run; a target's own 500 is repeated when late.

--- a/Source/Batching/BatchQueue.cpp
+++ b/Source/Batching/BatchQueue.cpp
@@ -12,12 +12,12 @@
 {
 
 constexpr std::chrono::milliseconds nearHold{60}; ///< How long a piece waits for a target near its inputs; a quarter of a call.
-constexpr std::uint64_t farBytes = 64 * 1024; ///< Inputs below this size may cross data centres at no noticeable cost.
+constexpr std::uint64_t farBytes = 64 * 1024; ///< Fewer bytes may cross data centres at no noticeable cost.
 
 bool waitsForNear(const BatchQueue::Entry &entry, const std::string &dataCentre, Clock::TimePoint now)
 {
     const Piece &piece = entry.piece;
-    return piece.inputBytes > farBytes && !piece.inputDataCentre.empty() && piece.inputDataCentre != dataCentre
+    return piece.nearBytes > farBytes && !piece.nearDataCentre.empty() && piece.nearDataCentre != dataCentre
         && now < entry.arrived + nearHold;
 }
 
--- a/Source/Batching/Piece.h
+++ b/Source/Batching/Piece.h
@@ -19,8 +19,8 @@
     std::string service;
     std::string key; ///< What it is made from when it has no inputs.
     std::vector<std::string> inputs; ///< Handles of the results that it takes.
-    std::string inputDataCentre; ///< Where most bytes of its inputs lie; empty without inputs.
-    std::uint64_t inputBytes = 0;
+    std::string nearDataCentre; ///< Where it is cheapest to make it; empty when anywhere.
+    std::uint64_t nearBytes = 0; ///< That cross data centres when it is made elsewhere.
     std::uint64_t resultBytes = 0; ///< Approximate.
     unsigned rank = 0; ///< Zero is the most urgent.
     Clock::TimePoint wantedBy; ///< A result after this time makes the request miss its objective.
--- a/Source/Batching/StagePlan.cpp
+++ b/Source/Batching/StagePlan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 namespace Guavalock
 {
@@ -23,9 +24,14 @@
     }
 }
 
+void StagePlan::setDestination(std::string dataCentre)
+{
+    m_destination = std::move(dataCentre);
+}
+
 bool StagePlan::done(const Stage &stage) const
 {
-    return std::ranges::all_of(stage.fragments, [](const Fragment &it) { return !it.handle.empty(); });
+    return std::ranges::all_of(stage.fragments, [](const Fragment &it) { return it.made; });
 }
 
 bool StagePlan::ready(const Stage &stage) const
@@ -63,7 +69,11 @@
     if (piece.inputs.empty()) {
         piece.key = m_key;
     }
-    piece.inputDataCentre = heaviest(node.after, piece.inputBytes);
+    piece.nearDataCentre = heaviest(node.after, piece.nearBytes);
+    if (piece.nearBytes < node.resultBytes) {
+        piece.nearDataCentre = m_destination;
+        piece.nearBytes = node.resultBytes;
+    }
     return piece;
 }
 
@@ -89,6 +99,7 @@
 {
     Fragment &it = m_stages.at(stage).fragments.at(fragment);
     it.handle = std::move(handle);
+    it.made = true;
     it.dataCentre = dataCentre;
 }
 
@@ -103,6 +114,8 @@
     for (Fragment &fragment : it.fragments) {
         if (!fragment.handle.empty()) {
             dropped[it.node.service].push_back(fragment.handle);
+        }
+        if (fragment.made) {
             fragment = {};
         }
     }
@@ -130,6 +143,35 @@
     return dropped;
 }
 
+bool StagePlan::used(std::size_t stage) const
+{
+    bool taken = false;
+    for (const Stage &it : m_stages) {
+        const bool takes = !it.fragments.empty() && std::ranges::find(it.node.after, stage) != it.node.after.end();
+        if (takes && !done(it)) {
+            return false;
+        }
+        taken = taken || takes;
+    }
+    return taken;
+}
+
+StagePlan::Handles StagePlan::takeUsed()
+{
+    Handles handles;
+    for (std::size_t stage = 0; stage < m_stages.size(); ++stage) {
+        if (!used(stage)) {
+            continue;
+        }
+        for (Fragment &it : m_stages[stage].fragments) {
+            if (!it.handle.empty()) {
+                handles[m_stages[stage].node.service].push_back(std::exchange(it.handle, {}));
+            }
+        }
+    }
+    return handles;
+}
+
 bool StagePlan::complete() const
 {
     return std::ranges::all_of(m_stages, [this](const Stage &it) { return done(it); });
--- a/Source/Batching/StagePlan.h
+++ b/Source/Batching/StagePlan.h
@@ -19,6 +19,9 @@
     /// Stages with a count of zero are left out, and so are stages for which no count is given.
     StagePlan(const std::vector<StageNode> &stages, const std::vector<std::size_t> &counts, std::string requestId, std::string key);
 
+    /// Sets the data centre in which the request will probably be answered, so that results are made near it.
+    void setDestination(std::string dataCentre);
+
     /// Returns the pieces that can be made now and have not been asked for. Numbers, rank and times are left to the caller.
     std::vector<Piece> takeReady();
 
@@ -33,6 +36,9 @@
     /// The results are gone altogether and all is to be made again. Returns dropped handles.
     Handles restart();
 
+    /// Returns the handles of results that every taker has used, and counts them as freed.
+    Handles takeUsed();
+
     bool complete() const;
 
     /// Returns how many calls in a row are still needed after one of the stage's own, for estimates of time.
@@ -41,7 +47,7 @@
     /// Returns the handles of the stages that no other stage takes.
     std::vector<std::string> finalHandles() const;
 
-    /// Returns every handle, by the service that made it.
+    /// Returns every handle that has not been freed, by the service that made it.
     Handles allHandles() const;
 
     /// Returns the data centre that holds most bytes of the final results, or nothing when there are none.
@@ -50,7 +56,8 @@
 private:
     struct Fragment {
         bool asked = false;
-        std::string handle; ///< Empty until made.
+        std::string handle; ///< Empty until made, and after it was freed.
+        bool made = false;
         std::string dataCentre;
     };
 
@@ -63,6 +70,7 @@
     bool done(const Stage &stage) const;
     bool ready(const Stage &stage) const;
     void reset(std::size_t stage, Handles &dropped);
+    bool used(std::size_t stage) const;
     Piece piece(std::size_t stage, std::size_t fragment) const;
 
     /// Returns the data centre that holds most bytes among the results of some stages.
@@ -71,6 +79,7 @@
     std::vector<Stage> m_stages;
     std::string m_requestId;
     std::string m_key;
+    std::string m_destination;
 };
 
 } // namespace Guavalock
--- a/Source/Batching/StageRun.cpp
+++ b/Source/Batching/StageRun.cpp
@@ -83,6 +83,10 @@
                 co_return end;
             }
         }
+        const StagePlan::Handles used = m_plan.takeUsed();
+        if (!used.empty()) {
+            m_router.release(used);
+        }
         m_router.resubmitLost(m_wait);
     }
     co_return End::Complete;
--- a/Source/Fleet/FleetTable.cpp
+++ b/Source/Fleet/FleetTable.cpp
@@ -99,10 +99,8 @@
     return target.sentLately(now) < ColdSenders::share(target.record().id, service.coldRate, m_vm, m_coldSenders);
 }
 
-std::optional<TargetPick> FleetTable::choose(const TargetDemand &demand, const ServiceRecord &service, Clock::TimePoint now,
-                                             Reason &reason)
+TargetBelief *FleetTable::find(const TargetDemand &demand, const ServiceRecord &service, Clock::TimePoint now, Reason &reason)
 {
-    const std::scoped_lock lock(m_mutex);
     std::vector<TargetBelief *> found;
     std::vector<TargetBelief *> suspects;
     std::vector<TargetBelief *> tried;
@@ -122,7 +120,7 @@
     const std::vector<TargetBelief *> &group = !found.empty() ? found : !suspects.empty() ? suspects : tried;
     if (group.empty()) {
         reason = {ResultCode::NoTarget, "none of " + std::to_string(known) + " known targets of service " + demand.service + " may be used"};
-        return std::nullopt;
+        return nullptr;
     }
     std::vector<TargetChooser::Candidate> candidates;
     candidates.reserve(group.size());
@@ -132,9 +130,27 @@
         candidates.push_back({it->record().id, near, it->load(now), it->health(), latency});
     }
     const auto &chooser = m_choosers.at(demand.affinity != 0 ? "prompt-affinity" : "least-loaded");
-    TargetBelief &target = *group[chooser->choose(candidates, demand.affinity, m_random)];
-    target.sent(demand.promptTokens, now);
-    return TargetPick{target.record().id, target.record().address, target.record().dataCentre, demand.service};
+    return group[chooser->choose(candidates, demand.affinity, m_random)];
+}
+
+std::optional<TargetPick> FleetTable::choose(const TargetDemand &demand, const ServiceRecord &service, Clock::TimePoint now,
+                                             Reason &reason)
+{
+    const std::scoped_lock lock(m_mutex);
+    TargetBelief *target = find(demand, service, now, reason);
+    if (target == nullptr) {
+        return std::nullopt;
+    }
+    target->sent(demand.promptTokens, now);
+    return TargetPick{target->record().id, target->record().address, target->record().dataCentre, demand.service};
+}
+
+std::string FleetTable::likelyDataCentre(const TargetDemand &demand, const ServiceRecord &service, Clock::TimePoint now)
+{
+    const std::scoped_lock lock(m_mutex);
+    Reason reason;
+    const TargetBelief *target = find(demand, service, now, reason);
+    return target == nullptr ? std::string() : target->record().dataCentre;
 }
 
 void FleetTable::began(const std::string &id, std::size_t promptTokens)
--- a/Source/Fleet/FleetTable.h
+++ b/Source/Fleet/FleetTable.h
@@ -45,6 +45,9 @@
     /// Chooses a target and counts one request as sent there. Returns nothing, with a reason, when none may be sent to.
     std::optional<TargetPick> choose(const TargetDemand &demand, const ServiceRecord &service, Clock::TimePoint now, Reason &reason);
 
+    /// Returns the data centre of the target that choose would probably take, or nothing.
+    std::string likelyDataCentre(const TargetDemand &demand, const ServiceRecord &service, Clock::TimePoint now);
+
     void began(const std::string &id, std::size_t promptTokens);
     void ended(const std::string &id, const TargetReport &report, Clock::Duration coldTime, Clock::TimePoint now);
 
@@ -57,6 +60,9 @@
     std::size_t size() const;
 
 private:
+    /// As choose, with the lock held and nothing counted.
+    TargetBelief *find(const TargetDemand &demand, const ServiceRecord &service, Clock::TimePoint now, Reason &reason);
+
     /// Returns whether the operators and the target itself allow work to be sent there.
     bool open(const TargetBelief &target) const;
 
--- a/Source/Mesh/Generated/Mesh_generated.h
+++ b/Source/Mesh/Generated/Mesh_generated.h
@@ -311,8 +311,8 @@
     VT_SERVICE = 12,
     VT_KEY = 14,
     VT_INPUTS = 16,
-    VT_INPUT_DATA_CENTRE = 18,
-    VT_INPUT_BYTES = 20,
+    VT_NEAR_DATA_CENTRE = 18,
+    VT_NEAR_BYTES = 20,
     VT_RESULT_BYTES = 22,
     VT_RANK = 24,
     VT_WANTED_IN_US = 26,
@@ -339,11 +339,11 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *inputs() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_INPUTS);
   }
-  const flatbuffers::String *input_data_centre() const {
-    return GetPointer<const flatbuffers::String *>(VT_INPUT_DATA_CENTRE);
+  const flatbuffers::String *near_data_centre() const {
+    return GetPointer<const flatbuffers::String *>(VT_NEAR_DATA_CENTRE);
   }
-  uint64_t input_bytes() const {
-    return GetField<uint64_t>(VT_INPUT_BYTES, 0);
+  uint64_t near_bytes() const {
+    return GetField<uint64_t>(VT_NEAR_BYTES, 0);
   }
   uint64_t result_bytes() const {
     return GetField<uint64_t>(VT_RESULT_BYTES, 0);
@@ -371,9 +371,9 @@
            VerifyOffset(verifier, VT_INPUTS) &&
            verifier.VerifyVector(inputs()) &&
            verifier.VerifyVectorOfStrings(inputs()) &&
-           VerifyOffset(verifier, VT_INPUT_DATA_CENTRE) &&
-           verifier.VerifyString(input_data_centre()) &&
-           VerifyField<uint64_t>(verifier, VT_INPUT_BYTES, 8) &&
+           VerifyOffset(verifier, VT_NEAR_DATA_CENTRE) &&
+           verifier.VerifyString(near_data_centre()) &&
+           VerifyField<uint64_t>(verifier, VT_NEAR_BYTES, 8) &&
            VerifyField<uint64_t>(verifier, VT_RESULT_BYTES, 8) &&
            VerifyField<uint32_t>(verifier, VT_RANK, 4) &&
            VerifyField<int64_t>(verifier, VT_WANTED_IN_US, 8) &&
@@ -407,11 +407,11 @@
   void add_inputs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> inputs) {
     fbb_.AddOffset(Piece::VT_INPUTS, inputs);
   }
-  void add_input_data_centre(flatbuffers::Offset<flatbuffers::String> input_data_centre) {
-    fbb_.AddOffset(Piece::VT_INPUT_DATA_CENTRE, input_data_centre);
+  void add_near_data_centre(flatbuffers::Offset<flatbuffers::String> near_data_centre) {
+    fbb_.AddOffset(Piece::VT_NEAR_DATA_CENTRE, near_data_centre);
   }
-  void add_input_bytes(uint64_t input_bytes) {
-    fbb_.AddElement<uint64_t>(Piece::VT_INPUT_BYTES, input_bytes, 0);
+  void add_near_bytes(uint64_t near_bytes) {
+    fbb_.AddElement<uint64_t>(Piece::VT_NEAR_BYTES, near_bytes, 0);
   }
   void add_result_bytes(uint64_t result_bytes) {
     fbb_.AddElement<uint64_t>(Piece::VT_RESULT_BYTES, result_bytes, 0);
@@ -445,8 +445,8 @@
     flatbuffers::Offset<flatbuffers::String> service = 0,
     flatbuffers::Offset<flatbuffers::String> key = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> inputs = 0,
-    flatbuffers::Offset<flatbuffers::String> input_data_centre = 0,
-    uint64_t input_bytes = 0,
+    flatbuffers::Offset<flatbuffers::String> near_data_centre = 0,
+    uint64_t near_bytes = 0,
     uint64_t result_bytes = 0,
     uint32_t rank = 0,
     int64_t wanted_in_us = 0,
@@ -455,10 +455,10 @@
   builder_.add_left_us(left_us);
   builder_.add_wanted_in_us(wanted_in_us);
   builder_.add_result_bytes(result_bytes);
-  builder_.add_input_bytes(input_bytes);
+  builder_.add_near_bytes(near_bytes);
   builder_.add_number(number);
   builder_.add_rank(rank);
-  builder_.add_input_data_centre(input_data_centre);
+  builder_.add_near_data_centre(near_data_centre);
   builder_.add_inputs(inputs);
   builder_.add_key(key);
   builder_.add_service(service);
@@ -482,8 +482,8 @@
     const char *service = nullptr,
     const char *key = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *inputs = nullptr,
-    const char *input_data_centre = nullptr,
-    uint64_t input_bytes = 0,
+    const char *near_data_centre = nullptr,
+    uint64_t near_bytes = 0,
     uint64_t result_bytes = 0,
     uint32_t rank = 0,
     int64_t wanted_in_us = 0,
@@ -492,7 +492,7 @@
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto key__ = key ? _fbb.CreateString(key) : 0;
   auto inputs__ = inputs ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*inputs) : 0;
-  auto input_data_centre__ = input_data_centre ? _fbb.CreateString(input_data_centre) : 0;
+  auto near_data_centre__ = near_data_centre ? _fbb.CreateString(near_data_centre) : 0;
   return Guavalock::MeshWire::CreatePiece(
       _fbb,
       number,
@@ -502,8 +502,8 @@
       service__,
       key__,
       inputs__,
-      input_data_centre__,
-      input_bytes,
+      near_data_centre__,
+      near_bytes,
       result_bytes,
       rank,
       wanted_in_us,
--- a/Source/Mesh/MeshCodec.cpp
+++ b/Source/Mesh/MeshCodec.cpp
@@ -55,9 +55,9 @@
     const auto id = builder.CreateString(piece.requestId);
     const auto service = builder.CreateSharedString(piece.service);
     const auto key = builder.CreateString(piece.key);
-    const auto dataCentre = builder.CreateSharedString(piece.inputDataCentre);
+    const auto dataCentre = builder.CreateSharedString(piece.nearDataCentre);
     return MeshWire::CreatePiece(builder, piece.number, id, static_cast<std::uint16_t>(piece.stage),
-                                 static_cast<std::uint16_t>(piece.fragment), service, key, inputs, dataCentre, piece.inputBytes,
+                                 static_cast<std::uint16_t>(piece.fragment), service, key, inputs, dataCentre, piece.nearBytes,
                                  piece.resultBytes, piece.rank, microsecondsTo(piece.wantedBy, now), microsecondsTo(piece.deadline, now));
 }
 
@@ -71,8 +71,8 @@
     piece.service = text(wire.service());
     piece.key = text(wire.key());
     piece.inputs = texts(wire.inputs());
-    piece.inputDataCentre = text(wire.input_data_centre());
-    piece.inputBytes = wire.input_bytes();
+    piece.nearDataCentre = text(wire.near_data_centre());
+    piece.nearBytes = wire.near_bytes();
     piece.resultBytes = wire.result_bytes();
     piece.rank = wire.rank();
     piece.wantedBy = timeIn(wire.wanted_in_us(), now);
--- a/Source/Relay/RelayFrontEnd.cpp
+++ b/Source/Relay/RelayFrontEnd.cpp
@@ -27,8 +27,9 @@
     m_gate.draining = true;
 }
 
-void RelayFrontEnd::stopAccepting()
+void RelayFrontEnd::close()
 {
+    m_gate.closed = true;
     m_acceptor.stop();
 }
 
--- a/Source/Relay/RelayFrontEnd.h
+++ b/Source/Relay/RelayFrontEnd.h
@@ -21,7 +21,8 @@
     /// From now on each answer closes its connection.
     void startDraining();
 
-    void stopAccepting();
+    /// Takes no more connections and refuses requests on those that are open.
+    void close();
 
     /// Returns how many requests are in progress.
     std::size_t requests() const;
--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -101,6 +101,7 @@
                               [this] { m_cancellation.cancel(RefusalCause::DeadlineUnreachable); });
     if (!m_route->stages.empty() && !m_request.pieceCounts.empty()) {
         StagePlan plan(m_route->stages, m_request.pieceCounts, m_request.id, m_request.pieceKey);
+        plan.setDestination(m_parts.fleet.likelyDataCentre(demand(), *m_service, m_parts.clock.now()));
         const StageRun::Terms terms{m_rank, m_objective, m_deadline - answerMargin};
         m_stages = std::make_unique<StageRun>(m_parts.pieces, m_parts.clock, std::move(plan), terms, m_cancellation, m_request.id);
     }
@@ -143,18 +144,26 @@
     co_return false;
 }
 
+TargetDemand RelayJob::demand() const
+{
+    TargetDemand demand;
+    demand.service = m_service->name;
+    demand.affinity = m_route->promptAffinity ? m_request.sharedPrompt : 0;
+    demand.promptTokens = m_request.promptTokens;
+    demand.avoid = m_tried;
+    // Where a prompt has to be read anew costs more than results that cross data centres, so affinity goes first.
+    if (m_stages && demand.affinity == 0) {
+        demand.dataCentre = m_stages->plan().finalDataCentre();
+    }
+    return demand;
+}
+
 Asio::awaitable<std::optional<TargetPick>> RelayJob::findTarget()
 {
     Asio::steady_timer timer(m_cancellation.strand());
     Reason reason;
     while (!m_cancellation.cause()) {
-        TargetDemand demand;
-        demand.service = m_service->name;
-        demand.affinity = m_route->promptAffinity ? m_request.sharedPrompt : 0;
-        demand.promptTokens = m_request.promptTokens;
-        demand.dataCentre = m_stages ? m_stages->plan().finalDataCentre() : std::string();
-        demand.avoid = m_tried;
-        std::optional<TargetPick> target = m_parts.fleet.choose(demand, *m_service, m_parts.clock.now(), reason);
+        std::optional<TargetPick> target = m_parts.fleet.choose(demand(), *m_service, m_parts.clock.now(), reason);
         if (target) {
             co_return target;
         }
@@ -239,7 +248,7 @@
     ++m_runs;
     m_runState = RunState::Yes;
     m_tried.insert(m_lastTarget);
-    if (outcome.head.status >= 500 && m_parts.clock.now() < m_objective && mayRepeat()) {
+    if (outcome.head.status >= 500 && mayRepeat()) {
         m_parts.metrics.counter("repeats_total{cause=\"target-error\"}").add();
         co_return Next::Again;
     }
--- a/Source/Relay/RelayJob.h
+++ b/Source/Relay/RelayJob.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Batching/StageRun.h"
+#include "Fleet/TargetDemand.h"
 #include "Flow/Cancellation.h"
 #include "Kernel/Refusal.h"
 #include "Relay/AttemptOutcome.h"
@@ -63,6 +64,7 @@
     /// Returns whether the request may be sent to another target after one that may have run it, and takes it from the budget.
     bool mayRepeat();
     bool otherTargetWorthwhile() const;
+    TargetDemand demand() const;
     SendTerms sendTerms(const TargetPick &target) const;
     std::chrono::milliseconds timeLeft() const;
     std::chrono::milliseconds silenceLimit() const;
--- a/Source/Relay/RelaySession.cpp
+++ b/Source/Relay/RelaySession.cpp
@@ -72,6 +72,10 @@
         if (!request) {
             break;
         }
+        if (m_gate.closed) {
+            co_await refuseInput(ResultCode::Draining, "the daemon is stopping");
+            break;
+        }
         ++m_gate.requests;
         co_await serve(std::move(*request));
         --m_gate.requests;
--- a/Source/Relay/RelaySession.h
+++ b/Source/Relay/RelaySession.h
@@ -25,6 +25,7 @@
 public:
     struct Gate {
         std::atomic<bool> draining{false}; ///< Every answer closes its connection.
+        std::atomic<bool> closed{false}; ///< New requests are refused.
         std::atomic<std::size_t> requests{0}; ///< In progress.
         std::atomic<std::size_t> connections{0};
     };
--- a/Source/Site/SiteDaemon.cpp
+++ b/Source/Site/SiteDaemon.cpp
@@ -184,13 +184,15 @@
     m_mesh->startDraining();
     boost::asio::io_context timers;
     Asio::steady_timer timer(timers);
+    timer.expires_after(std::min<Clock::Duration>(noticeTime, m_settings.graceTime / 2));
+    timer.wait();
+    m_callers->close();
     const Clock::TimePoint end = begin + m_settings.graceTime - stopMargin;
-    while (m_clock.now() < end && (m_clock.now() < begin + noticeTime || m_callers->requests() > 0)) {
+    while (m_clock.now() < end && m_callers->requests() > 0) {
         timer.expires_after(stopInterval);
         timer.wait();
     }
     const std::size_t left = m_callers->requests();
-    m_callers->stopAccepting();
     m_follower->stop();
     m_batches->stop();
     m_mesh->stop();
