Free inputs once the taking call has read them; let pieces wait for near targets

Cause: in a burst, yard-log batches held 20 of 28 pieces: results of 60 kB filled the 3.7 MB of their makers until the next stage was complete. Change: an owner tells the asking daemon half a call after a call began that its inputs are read, and they are freed then; pieces wait up to 150 ms for a target near their inputs while their objective allows it; results that outweigh the shared prompt decide the model engine's data centre.

--- a/Source/Batching/BatchOwner.cpp
+++ b/Source/Batching/BatchOwner.cpp
@@ -210,9 +210,29 @@
 {
     worker->busy = true;
     worker->inFlight = std::move(entries);
+    ++worker->calls;
     m_parts.metrics.counter("stage_calls_total{service=\"" + name + "\"}").add();
     m_parts.metrics.counter("stage_pieces_total{service=\"" + name + "\"}").add(worker->inFlight.size());
     Asio::co_spawn(m_strand, call(name, worker, terms), Asio::detached);
+    if (std::ranges::any_of(worker->inFlight, [](const BatchQueue::Entry &it) { return !it.piece.inputs.empty(); })) {
+        Asio::co_spawn(m_strand, tellTaken(worker, terms.callTime / 2), Asio::detached);
+    }
+}
+
+Asio::awaitable<void> BatchOwner::tellTaken(std::shared_ptr<BatchWorker> worker, Clock::Duration after)
+{
+    const std::uint64_t call = worker->calls;
+    Asio::steady_timer timer(m_strand, after);
+    co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
+    if (worker->calls != call || !worker->busy) {
+        co_return;
+    }
+    for (const BatchQueue::Entry &it : worker->inFlight) {
+        if (!it.piece.inputs.empty()) {
+            give(it.origin, {it.piece.number, PieceResult::End::Taken, {}, {}});
+        }
+    }
+    giveAll();
 }
 
 Asio::awaitable<void> BatchOwner::call(std::string name, std::shared_ptr<BatchWorker> worker, BatchTerms terms)
@@ -240,6 +260,7 @@
     if (answer && answer->status == 200) {
         worker->callEnded(now - start, expected, now);
         m_parts.metrics.distribution("stage_call_seconds").observe(now - start);
+        logCall(name, *worker, start, now);
         answered(name, *worker, answer->body, terms);
     } else if (answer) {
         worker->holdUntil = now + refusalHold;
@@ -258,6 +279,22 @@
     }
 }
 
+void BatchOwner::logCall(const std::string &name, const BatchWorker &worker, Clock::TimePoint start, Clock::TimePoint now)
+{
+    const auto milliseconds = [](Clock::Duration it) { return std::to_string(std::chrono::duration_cast<Milliseconds>(it).count()); };
+    Clock::TimePoint oldest = start;
+    for (const BatchQueue::Entry &it : worker.inFlight) {
+        oldest = std::min(oldest, it.arrived);
+    }
+    Log::state("batching", "call",
+               {{"service", name},
+                {"target", worker.target.id},
+                {"pieces", std::to_string(worker.inFlight.size())},
+                {"oldest_wait_ms", milliseconds(start - oldest)},
+                {"took_ms", milliseconds(now - start)},
+                {"queued", std::to_string(m_services[name].queue.size())}});
+}
+
 void BatchOwner::answered(const std::string &name, BatchWorker &worker, const std::string &body, const BatchTerms &terms)
 {
     const auto made = m_parts.codec.batchAnswer(body, worker.inFlight.size());
--- a/Source/Batching/BatchOwner.h
+++ b/Source/Batching/BatchOwner.h
@@ -78,6 +78,8 @@
     void startCall(const std::string &name, const std::shared_ptr<BatchWorker> &worker, std::vector<BatchQueue::Entry> entries,
                    const BatchTerms &terms);
     boost::asio::awaitable<void> call(std::string name, std::shared_ptr<BatchWorker> worker, BatchTerms terms);
+    boost::asio::awaitable<void> tellTaken(std::shared_ptr<BatchWorker> worker, Clock::Duration after);
+    void logCall(const std::string &name, const BatchWorker &worker, Clock::TimePoint start, Clock::TimePoint now);
     void answered(const std::string &name, BatchWorker &worker, const std::string &body, const BatchTerms &terms);
     void failed(const std::string &name, BatchWorker &worker, TargetReport::End end);
     void requeue(const std::string &name, BatchQueue::Entry entry);
--- a/Source/Batching/BatchQueue.cpp
+++ b/Source/Batching/BatchQueue.cpp
@@ -11,14 +11,15 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds nearHold{60}; ///< How long a piece waits for a target near its inputs; a quarter of a call.
+constexpr std::chrono::milliseconds nearHold{150}; ///< How long a piece may wait for a target near its inputs; half of a call.
+constexpr std::chrono::milliseconds nearSlack{150}; ///< What has to be left until its result is wanted, so that waiting costs nothing.
 constexpr std::uint64_t farBytes = 64 * 1024; ///< Fewer bytes may cross data centres at no noticeable cost.
 
-bool waitsForNear(const BatchQueue::Entry &entry, const std::string &dataCentre, Clock::TimePoint now)
+bool waitsForNear(const BatchQueue::Entry &entry, const BatchTerms &terms, const std::string &dataCentre, Clock::TimePoint now)
 {
     const Piece &piece = entry.piece;
     return piece.nearBytes > farBytes && !piece.nearDataCentre.empty() && piece.nearDataCentre != dataCentre
-        && now < entry.arrived + nearHold;
+        && now < entry.arrived + nearHold && now + terms.callTime + nearSlack < piece.wantedBy;
 }
 
 } // namespace
@@ -41,7 +42,7 @@
     std::uint64_t bytes = 0;
     for (Entry &it : m_entries) {
         const bool fits = taken.size() < terms.batchLimit && bytes + it.piece.resultBytes <= room;
-        if (!fits || waitsForNear(it, dataCentre, now)) {
+        if (!fits || waitsForNear(it, terms, dataCentre, now)) {
             left.push_back(std::move(it));
             continue;
         }
--- a/Source/Batching/BatchWorker.h
+++ b/Source/Batching/BatchWorker.h
@@ -30,6 +30,7 @@
     bool busy = false;
     Clock::TimePoint holdUntil{}; ///< Nothing is sent before, because the target refused a call.
     std::vector<BatchQueue::Entry> inFlight;
+    std::uint64_t calls = 0; ///< Begun so far; tells one call from the next.
     ResultRoom room;
     std::vector<std::string> toFree; ///< Handles to be freed with the next call for that.
     bool freeing = false;
--- a/Source/Batching/PieceResult.h
+++ b/Source/Batching/PieceResult.h
@@ -12,6 +12,7 @@
         Made,
         Late, ///< Its deadline passed before its turn.
         InputsGone, ///< An input no longer exists and has to be made again.
+        Taken, ///< Its target has read its inputs; the result follows.
         Failed, ///< It could not be made, after repeats where the budget allowed them.
     };
 
--- a/Source/Batching/PieceRouter.cpp
+++ b/Source/Batching/PieceRouter.cpp
@@ -79,11 +79,17 @@
     {
         const std::scoped_lock lock(m_mutex);
         for (PieceResult &it : results) {
-            const auto wait = m_waits.extract(it.number);
-            if (wait) {
-                byWait[wait.mapped()].push_back(std::move(it));
-            } else if (!it.handle.empty()) {
-                unwanted.push_back(std::move(it.handle));
+            const auto wait = m_waits.find(it.number);
+            if (wait == m_waits.end()) {
+                if (!it.handle.empty()) {
+                    unwanted.push_back(std::move(it.handle));
+                }
+                continue;
+            }
+            const bool last = it.end != PieceResult::End::Taken;
+            byWait[wait->second].push_back(std::move(it));
+            if (last) {
+                m_waits.erase(wait);
             }
         }
     }
--- a/Source/Batching/PieceWait.cpp
+++ b/Source/Batching/PieceWait.cpp
@@ -22,9 +22,14 @@
 {
     Asio::post(m_strand, [self = shared_from_this(), results = std::move(results)]() mutable {
         for (PieceResult &it : results) {
-            auto asked = self->m_asked.extract(it.number);
-            if (asked) {
-                self->m_results.emplace_back(std::move(asked.mapped().piece), std::move(it));
+            const auto asked = self->m_asked.find(it.number);
+            if (asked == self->m_asked.end()) {
+                continue;
+            }
+            const bool last = it.end != PieceResult::End::Taken;
+            self->m_results.emplace_back(asked->second.piece, std::move(it));
+            if (last) {
+                self->m_asked.erase(asked);
             }
         }
         self->m_timer.cancel();
--- a/Source/Batching/StagePlan.cpp
+++ b/Source/Batching/StagePlan.cpp
@@ -100,9 +100,15 @@
     Fragment &it = m_stages.at(stage).fragments.at(fragment);
     it.handle = std::move(handle);
     it.made = true;
+    it.taken = true;
     it.dataCentre = dataCentre;
 }
 
+void StagePlan::taken(std::size_t stage, std::size_t fragment)
+{
+    m_stages.at(stage).fragments.at(fragment).taken = true;
+}
+
 void StagePlan::lost(std::size_t stage, std::size_t fragment)
 {
     m_stages.at(stage).fragments.at(fragment) = {};
@@ -148,7 +154,7 @@
     bool taken = false;
     for (const Stage &it : m_stages) {
         const bool takes = !it.fragments.empty() && std::ranges::find(it.node.after, stage) != it.node.after.end();
-        if (takes && !done(it)) {
+        if (takes && !std::ranges::all_of(it.fragments, &Fragment::taken)) {
             return false;
         }
         taken = taken || takes;
@@ -215,16 +221,28 @@
     return handles;
 }
 
-std::string StagePlan::finalDataCentre() const
+std::vector<std::size_t> StagePlan::finalStages() const
 {
-    std::vector<std::size_t> last;
+    std::vector<std::size_t> stages;
     for (std::size_t it = 0; it < m_stages.size(); ++it) {
         if (!m_stages[it].takenByOther) {
-            last.push_back(it);
+            stages.push_back(it);
         }
     }
+    return stages;
+}
+
+std::string StagePlan::finalDataCentre() const
+{
+    std::uint64_t bytes = 0;
+    return heaviest(finalStages(), bytes);
+}
+
+std::uint64_t StagePlan::finalBytes() const
+{
     std::uint64_t bytes = 0;
-    return heaviest(last, bytes);
+    heaviest(finalStages(), bytes);
+    return bytes;
 }
 
 } // namespace Guavalock
--- a/Source/Batching/StagePlan.h
+++ b/Source/Batching/StagePlan.h
@@ -27,6 +27,9 @@
 
     void made(std::size_t stage, std::size_t fragment, std::string handle, const std::string &dataCentre);
 
+    /// The piece's target has read its inputs.
+    void taken(std::size_t stage, std::size_t fragment);
+
     /// The piece is to be asked for again.
     void lost(std::size_t stage, std::size_t fragment);
 
@@ -36,7 +39,7 @@
     /// The results are gone altogether and all is to be made again. Returns dropped handles.
     Handles restart();
 
-    /// Returns the handles of results that every taker has used, and counts them as freed.
+    /// Returns the handles of results that every taker has read, and counts them as freed.
     Handles takeUsed();
 
     bool complete() const;
@@ -53,10 +56,14 @@
     /// Returns the data centre that holds most bytes of the final results, or nothing when there are none.
     std::string finalDataCentre() const;
 
+    /// Returns the approximate size of the final results.
+    std::uint64_t finalBytes() const;
+
 private:
     struct Fragment {
         bool asked = false;
         std::string handle; ///< Empty until made, and after it was freed.
+        bool taken = false; ///< Its target has read its inputs.
         bool made = false;
         std::string dataCentre;
     };
@@ -73,6 +80,9 @@
     bool used(std::size_t stage) const;
     Piece piece(std::size_t stage, std::size_t fragment) const;
 
+    /// Returns the stages that no other stage takes.
+    std::vector<std::size_t> finalStages() const;
+
     /// Returns the data centre that holds most bytes among the results of some stages.
     std::string heaviest(const std::vector<std::size_t> &stages, std::uint64_t &bytes) const;
 
--- a/Source/Batching/StageRun.cpp
+++ b/Source/Batching/StageRun.cpp
@@ -57,6 +57,9 @@
     case PieceResult::End::InputsGone:
         m_router.release(m_plan.inputsGone(piece.stage, piece.fragment));
         return End::Complete;
+    case PieceResult::End::Taken:
+        m_plan.taken(piece.stage, piece.fragment);
+        return End::Complete;
     case PieceResult::End::Late:
         return End::Late;
     case PieceResult::End::Failed:
--- a/Source/Relay/OpaqueRequest.h
+++ b/Source/Relay/OpaqueRequest.h
@@ -23,6 +23,7 @@
     std::string key; ///< Of the organisation; empty when none was sent.
     std::optional<std::chrono::milliseconds> deadline; ///< From its arrival.
     std::uint64_t sharedPrompt = 0; ///< Hash of the last prompt part that other requests may share; zero without one.
+    std::size_t sharedTokens = 0; ///< Of the prompt parts that other requests may share.
     std::size_t promptTokens = 0;
     std::vector<std::size_t> pieceCounts; ///< For each stage of the route; zero leaves the stage out.
     std::string pieceKey; ///< What pieces without inputs are made from.
--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -35,6 +35,7 @@
 constexpr Milliseconds refusalPause{15}; ///< Before another target is tried after a refusal, so that full targets are not hammered.
 constexpr Milliseconds comeBackSoon{400}; ///< After a loss of targets, by when others have taken over.
 constexpr Milliseconds comeBackLater{1'500}; ///< After an overload, by when a burst of a few seconds has eased.
+constexpr std::uint64_t bytesForToken = 2'800; ///< Crossing data centres that cost as much as one prompt token read again.
 constexpr unsigned mostSends = 8; ///< Sends that reach no target or are refused; beyond that the service has no room.
 constexpr unsigned mostRestarts = 2; ///< Times that stages are made again for one request.
 
@@ -151,8 +152,8 @@
     demand.affinity = m_route->promptAffinity ? m_request.sharedPrompt : 0;
     demand.promptTokens = m_request.promptTokens;
     demand.avoid = m_tried;
-    // Where a prompt has to be read anew costs more than results that cross data centres, so affinity goes first.
-    if (m_stages && demand.affinity == 0) {
+    const bool resultsOutweigh = m_stages && m_stages->plan().finalBytes() > bytesForToken * m_request.sharedTokens;
+    if (resultsOutweigh) {
         demand.dataCentre = m_stages->plan().finalDataCentre();
     }
     return demand;
