Refuse requests early that the stages cannot make in time

Ruled out: failing targets (the losses lie in the bursts, queues of hundreds). Change: the batch owner refuses pieces that begin a request when what waits ahead makes them miss their objective; times of later stages come from recent requests; a stream is refused when its caller would leave before the first event.

--- a/Source/Batching/BatchOwner.cpp
+++ b/Source/Batching/BatchOwner.cpp
@@ -39,6 +39,8 @@
 constexpr Milliseconds fullHold{100}; ///< After a target had no room for a result.
 constexpr Milliseconds callSlack{400}; ///< On top of twice the expected time, before a call counts as lost.
 constexpr unsigned mostTries = 4; ///< Calls that one piece may be in; beyond that its request has missed its objective.
+constexpr double waitInCall = 0.1; ///< Until the next target is idle, in calls, when several are busy.
+constexpr Milliseconds refusalSlack{150}; ///< A request has to miss its objective by this much before it is refused for that.
 constexpr double slowLimit = 2.0; ///< A target that takes this many times the stated time is slow.
 
 Clock::Duration expectedTime(const BatchTerms &terms, std::size_t pieces)
@@ -89,16 +91,37 @@
     for (Piece &it : pieces) {
         const std::string name = it.service;
         m_parts.budget.request(name, now);
+        if (it.inputs.empty() && hopeless(it, now)) {
+            give(origin, {it.number, PieceResult::End::Refused, {}, {}});
+            continue;
+        }
         m_services[name].queue.add({std::move(it), origin, now, 0});
         if (std::ranges::find(names, name) == names.end()) {
             names.push_back(name);
         }
     }
+    giveAll();
     for (const std::string &it : names) {
         pump(it);
     }
 }
 
+bool BatchOwner::hopeless(const Piece &piece, Clock::TimePoint now)
+{
+    const std::shared_ptr<const Catalogue> catalogue = m_parts.catalogue.current();
+    const ServiceRecord *record = catalogue ? catalogue->service(piece.service) : nullptr;
+    Service &service = m_services[piece.service];
+    if (record == nullptr || !record->batch || service.queue.empty()) {
+        return false;
+    }
+    const BatchTerms &terms = *record->batch;
+    const std::size_t targets = std::max<std::size_t>(m_parts.fleet.usable(piece.service, now).size(), 1);
+    const double calls = static_cast<double>(service.queue.ahead(piece, terms, now)) / static_cast<double>(targets * terms.batchLimit);
+    const Clock::Duration full = expectedTime(terms, terms.batchLimit);
+    const auto wait = std::chrono::duration_cast<Clock::Duration>(full * (calls + waitInCall));
+    return now + wait + full > piece.wantedBy + refusalSlack;
+}
+
 void BatchOwner::drop(const std::string &origin, const std::string &requestId)
 {
     for (auto &[name, service] : m_services) {
--- a/Source/Batching/BatchOwner.h
+++ b/Source/Batching/BatchOwner.h
@@ -66,6 +66,9 @@
     };
 
     void add(const std::string &origin, std::vector<Piece> pieces);
+    /// Returns whether a piece that begins a request's stages would come too late after what waits already.
+    bool hopeless(const Piece &piece, Clock::TimePoint now);
+
     void drop(const std::string &origin, const std::string &requestId);
     void free(const std::vector<std::string> &handles);
 
--- a/Source/Batching/BatchQueue.cpp
+++ b/Source/Batching/BatchQueue.cpp
@@ -3,7 +3,6 @@
 #include "Fleet/BatchTerms.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace Guavalock
 {
@@ -29,14 +28,24 @@
     m_entries.push_back(std::move(entry));
 }
 
+std::tuple<bool, unsigned, Clock::TimePoint, std::uint64_t> BatchQueue::urgency(const Piece &piece, const BatchTerms &terms,
+                                                                                Clock::TimePoint now)
+{
+    const bool lost = now + terms.callTime > piece.wantedBy;
+    return {lost, piece.rank, piece.wantedBy, piece.number};
+}
+
+std::size_t BatchQueue::ahead(const Piece &piece, const BatchTerms &terms, Clock::TimePoint now) const
+{
+    const auto own = urgency(piece, terms, now);
+    const auto n = std::ranges::count_if(m_entries, [&](const Entry &it) { return urgency(it.piece, terms, now) < own; });
+    return static_cast<std::size_t>(n);
+}
+
 std::vector<BatchQueue::Entry> BatchQueue::take(const BatchTerms &terms, std::uint64_t room, const std::string &dataCentre,
                                                 Clock::TimePoint now)
 {
-    const auto urgency = [&](const Entry &it) {
-        const bool lost = now + terms.callTime > it.piece.wantedBy;
-        return std::tuple(lost, it.piece.rank, it.piece.wantedBy, it.piece.number);
-    };
-    std::ranges::stable_sort(m_entries, {}, urgency);
+    std::ranges::stable_sort(m_entries, {}, [&](const Entry &it) { return urgency(it.piece, terms, now); });
     std::vector<Entry> taken;
     std::vector<Entry> left;
     std::uint64_t bytes = 0;
--- a/Source/Batching/BatchQueue.h
+++ b/Source/Batching/BatchQueue.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace Guavalock
@@ -29,6 +30,9 @@
     /// Removes and returns what the next call to a target takes. Room is what the target has left for results, in bytes.
     std::vector<Entry> take(const BatchTerms &terms, std::uint64_t room, const std::string &dataCentre, Clock::TimePoint now);
 
+    /// Returns how many waiting pieces go before another one.
+    std::size_t ahead(const Piece &piece, const BatchTerms &terms, Clock::TimePoint now) const;
+
     /// Removes and returns the pieces whose deadline has passed.
     std::vector<Entry> takeLate(Clock::TimePoint now);
 
@@ -39,6 +43,10 @@
     std::size_t size() const;
 
 private:
+    /// The place of a piece in the order, the smallest first.
+    static std::tuple<bool, unsigned, Clock::TimePoint, std::uint64_t> urgency(const Piece &piece, const BatchTerms &terms,
+                                                                               Clock::TimePoint now);
+
     std::vector<Entry> m_entries;
 };
 
--- a/Source/Batching/PieceWait.cpp
+++ b/Source/Batching/PieceWait.cpp
@@ -27,7 +27,7 @@
                 continue;
             }
             const bool last = it.end != PieceResult::End::Taken;
-            self->m_results.emplace_back(asked->second.piece, std::move(it));
+            self->m_results.push_back({asked->second.piece, std::move(it), asked->second.sent});
             if (last) {
                 self->m_asked.erase(asked);
             }
@@ -36,7 +36,7 @@
     });
 }
 
-Asio::awaitable<std::vector<std::pair<Piece, PieceResult>>> PieceWait::next(Clock::TimePoint until)
+Asio::awaitable<std::vector<PieceWait::Arrived>> PieceWait::next(Clock::TimePoint until)
 {
     if (m_results.empty() && !m_cancellation.cause()) {
         m_timer.expires_at(until);
--- a/Source/Batching/PieceWait.h
+++ b/Source/Batching/PieceWait.h
@@ -25,13 +25,19 @@
         Clock::TimePoint sent;
     };
 
+    struct Arrived {
+        Piece piece;
+        PieceResult result;
+        Clock::TimePoint sent; ///< When the piece was asked for.
+    };
+
     explicit PieceWait(Cancellation &cancellation);
 
     /// Hands results over. Callable from any thread.
     void deliver(std::vector<PieceResult> results);
 
     /// Waits for results until a time, or until the request is cancelled. Each asked piece gives one result, and may be told as taken before.
-    boost::asio::awaitable<std::vector<std::pair<Piece, PieceResult>>> next(Clock::TimePoint until);
+    boost::asio::awaitable<std::vector<Arrived>> next(Clock::TimePoint until);
 
     std::map<std::uint64_t, Asked> &asked();
 
@@ -40,7 +46,7 @@
     boost::asio::any_io_executor m_strand;
     boost::asio::steady_timer m_timer;
     std::map<std::uint64_t, Asked> m_asked;
-    std::vector<std::pair<Piece, PieceResult>> m_results;
+    std::vector<Arrived> m_results;
 };
 
 } // namespace Guavalock
--- a/Source/Batching/StagePlan.cpp
+++ b/Source/Batching/StagePlan.cpp
@@ -183,16 +183,21 @@
     return std::ranges::all_of(m_stages, [this](const Stage &it) { return done(it); });
 }
 
-std::size_t StagePlan::depthAfter(std::size_t stage) const
+std::vector<std::string> StagePlan::servicesAfter(std::size_t stage) const
 {
-    std::size_t depth = 0;
+    std::vector<std::string> longest;
     for (std::size_t it = 0; it < m_stages.size(); ++it) {
-        const bool takes = !m_stages[it].fragments.empty() && std::ranges::find(m_stages[it].node.after, stage) != m_stages[it].node.after.end();
-        if (takes) {
-            depth = std::max(depth, 1 + depthAfter(it));
+        const StageNode &node = m_stages[it].node;
+        if (m_stages[it].fragments.empty() || std::ranges::find(node.after, stage) == node.after.end()) {
+            continue;
+        }
+        std::vector<std::string> chain = servicesAfter(it);
+        chain.push_back(node.service);
+        if (chain.size() > longest.size()) {
+            longest = std::move(chain);
         }
     }
-    return depth;
+    return longest;
 }
 
 std::vector<std::string> StagePlan::finalHandles() const
--- a/Source/Batching/StagePlan.h
+++ b/Source/Batching/StagePlan.h
@@ -44,8 +44,8 @@
 
     bool complete() const;
 
-    /// Returns how many calls in a row are still needed after one of the stage's own, for estimates of time.
-    std::size_t depthAfter(std::size_t stage) const;
+    /// Returns the services of the longest chain of stages that still follows a stage.
+    std::vector<std::string> servicesAfter(std::size_t stage) const;
 
     /// Returns the handles of the stages that no other stage takes.
     std::vector<std::string> finalHandles() const;
--- a/Source/Batching/StageRun.cpp
+++ b/Source/Batching/StageRun.cpp
@@ -1,6 +1,7 @@
 #include "Batching/StageRun.h"
 
 #include "Batching/PieceRouter.h"
+#include "Batching/StageTimes.h"
 
 #include <algorithm>
 
@@ -13,16 +14,18 @@
 {
 
 constexpr std::chrono::milliseconds ownerCheck{300}; ///< Between looks at whether the owners of waiting pieces are alive.
-constexpr std::chrono::milliseconds stageTime{280}; ///< Of a later stage, for its place in the queue: a call and some waiting.
-constexpr std::chrono::milliseconds answerTime{150}; ///< From the last stage to the answer's beginning, likewise.
+constexpr std::chrono::milliseconds stageTime{280}; ///< Usual time of a stage: a call and some waiting.
+constexpr std::chrono::milliseconds answerTime{120}; ///< Usual time from the last stage to the answer's beginning.
 
 } // namespace
 
-StageRun::StageRun(PieceRouter &router, const Clock &clock, StagePlan plan, Terms terms, Cancellation &cancellation, std::string requestId)
+StageRun::StageRun(PieceRouter &router, StageTimes &times, const Clock &clock, StagePlan plan, Terms terms, Cancellation &cancellation,
+                   std::string requestId)
     : m_router(router)
+    , m_times(times)
     , m_clock(clock)
     , m_plan(std::move(plan))
-    , m_terms(terms)
+    , m_terms(std::move(terms))
     , m_cancellation(cancellation)
     , m_requestId(std::move(requestId))
     , m_wait(std::make_shared<PieceWait>(cancellation))
@@ -38,10 +41,15 @@
 void StageRun::submitReady()
 {
     std::vector<Piece> pieces = m_plan.takeReady();
+    const Clock::TimePoint now = m_clock.now();
+    const Clock::TimePoint answerFrom = m_terms.objective - m_times.expected(m_terms.answerService, answerTime, now);
     for (Piece &it : pieces) {
         it.rank = m_terms.rank;
         it.deadline = m_terms.deadline;
-        it.wantedBy = m_terms.objective - answerTime - stageTime * static_cast<int>(m_plan.depthAfter(it.stage));
+        it.wantedBy = answerFrom;
+        for (const std::string &service : m_plan.servicesAfter(it.stage)) {
+            it.wantedBy -= m_times.expected(service, stageTime, now);
+        }
     }
     if (!pieces.empty()) {
         m_router.submit(m_wait, std::move(pieces));
@@ -60,6 +68,8 @@
     case PieceResult::End::Taken:
         m_plan.taken(piece.stage, piece.fragment);
         return End::Complete;
+    case PieceResult::End::Refused:
+        return End::Refused;
     case PieceResult::End::Late:
         return End::Late;
     case PieceResult::End::Failed:
@@ -80,8 +90,11 @@
         if (m_cancellation.cause()) {
             co_return End::Cancelled;
         }
-        for (const auto &[piece, result] : results) {
-            const End end = take(piece, result);
+        for (const PieceWait::Arrived &it : results) {
+            if (it.result.end == PieceResult::End::Made) {
+                m_times.observe(it.piece.service, m_clock.now() - it.sent, m_clock.now());
+            }
+            const End end = take(it.piece, it.result);
             if (end != End::Complete) {
                 co_return end;
             }
--- a/Source/Batching/StageRun.h
+++ b/Source/Batching/StageRun.h
@@ -12,6 +12,7 @@
 {
 
 class PieceRouter;
+class StageTimes;
 
 /// Has the stages of one request made. Runs on the request's strand. Frees every result that is left at its end.
 class StageRun
@@ -20,6 +21,7 @@
     enum class End {
         Complete,
         Late, ///< The deadline would pass first.
+        Refused, ///< The stages have too much to do already; nothing was made.
         Failed, ///< A piece could not be made.
         Cancelled,
     };
@@ -28,9 +30,10 @@
         unsigned rank = 0;
         Clock::TimePoint objective; ///< Of the whole request.
         Clock::TimePoint deadline;
+        std::string answerService; ///< That answers the request after its stages.
     };
 
-    StageRun(PieceRouter &router, const Clock &clock, StagePlan plan, Terms terms, Cancellation &cancellation, std::string requestId);
+    StageRun(PieceRouter &router, StageTimes &times, const Clock &clock, StagePlan plan, Terms terms, Cancellation &cancellation, std::string requestId);
     ~StageRun();
 
     StageRun(const StageRun &) = delete;
@@ -49,6 +52,7 @@
     End take(const Piece &piece, const PieceResult &result);
 
     PieceRouter &m_router;
+    StageTimes &m_times;
     const Clock &m_clock;
     StagePlan m_plan;
     Terms m_terms;
--- a/Source/Fleet/RouteRecord.h
+++ b/Source/Fleet/RouteRecord.h
@@ -22,6 +22,7 @@
     bool promptAffinity = false; ///< Requests list the parts of their prompt.
     std::chrono::milliseconds timeout{0};
     std::chrono::milliseconds objective{0}; ///< To the answer, or to the first event of a stream.
+    std::chrono::milliseconds gapObjective{0}; ///< Longest pause between two events of a stream.
     unsigned maxAttempts = 1;
     unsigned rank = 0; ///< Zero is the most urgent.
     std::vector<std::pair<std::string, unsigned>> services; ///< Name and weight.
--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -1,5 +1,6 @@
 #include "Relay/RelayJob.h"
 
+#include "Batching/StageTimes.h"
 #include "Decisions/Hash.h"
 #include "Fleet/Catalogue.h"
 #include "Fleet/CatalogueTable.h"
@@ -35,6 +36,9 @@
 constexpr Milliseconds refusalPause{15}; ///< Before another target is tried after a refusal, so that full targets are not hammered.
 constexpr Milliseconds comeBackSoon{400}; ///< After a loss of targets, by when others have taken over.
 constexpr Milliseconds comeBackLater{1'500}; ///< After an overload, by when a burst of a few seconds has eased.
+constexpr Milliseconds callerPatience{2'000}; ///< Callers leave a stream that is silent for the longest of this time,
+constexpr int patienceInObjectives = 4; ///< this many times the route's objective
+constexpr int patienceInGaps = 8; ///< and this many times its longest pause.
 constexpr std::uint64_t bytesForToken = 2'800; ///< Crossing data centres that cost as much as one prompt token read again.
 constexpr unsigned mostSends = 8; ///< Sends that reach no target or are refused; beyond that the service has no room.
 constexpr unsigned mostRestarts = 2; ///< Times that stages are made again for one request.
@@ -98,13 +102,19 @@
         co_await tellRefusal();
         co_return;
     }
-    const DeadlineTimer timer(m_cancellation.strand(), m_deadline - answerMargin,
-                              [this] { m_cancellation.cancel(RefusalCause::DeadlineUnreachable); });
+    const auto giveUp = [this] { m_cancellation.cancel(RefusalCause::DeadlineUnreachable); };
+    const DeadlineTimer timer(m_cancellation.strand(), m_deadline - answerMargin, giveUp);
+    const DeadlineTimer patience(m_cancellation.strand(), firstEventLimit(), [this, giveUp] {
+        if (!m_progress.begun) {
+            giveUp();
+        }
+    });
     if (!m_route->stages.empty() && !m_request.pieceCounts.empty()) {
         StagePlan plan(m_route->stages, m_request.pieceCounts, m_request.id, m_request.pieceKey);
         plan.setDestination(m_parts.fleet.likelyDataCentre(demand(), *m_service, m_parts.clock.now()));
-        const StageRun::Terms terms{m_rank, m_objective, m_deadline - answerMargin};
-        m_stages = std::make_unique<StageRun>(m_parts.pieces, m_parts.clock, std::move(plan), terms, m_cancellation, m_request.id);
+        StageRun::Terms terms{m_rank, m_objective, firstEventLimit(), m_service->name};
+        m_stages = std::make_unique<StageRun>(m_parts.pieces, m_parts.times, m_parts.clock, std::move(plan), std::move(terms),
+                                              m_cancellation, m_request.id);
     }
     Next next = Next::Again;
     while (next == Next::Again) {
@@ -116,6 +126,16 @@
     }
 }
 
+Clock::TimePoint RelayJob::firstEventLimit() const
+{
+    if (m_route->rule != RunRule::Stream) {
+        return m_deadline - answerMargin;
+    }
+    const Milliseconds patience
+        = std::max({callerPatience, patienceInObjectives * m_route->objective, patienceInGaps * m_route->gapObjective});
+    return std::min(m_deadline, m_request.arrived + patience) - answerMargin;
+}
+
 Asio::awaitable<bool> RelayJob::makeStages()
 {
     if (!m_stages || m_stages->plan().complete()) {
@@ -141,7 +161,8 @@
         co_return false;
     }
     m_refusal.retryAfter = comeBackLater;
-    co_await refuse(ResultCode::Overloaded, "the stages were not made before the deadline");
+    co_await refuse(ResultCode::Overloaded, end == StageRun::End::Refused ? "the stages have too much to do already"
+                                                                         : "the stages were not made in time");
     co_return false;
 }
 
@@ -218,6 +239,7 @@
         co_return Next::Done;
     }
     ++m_sends;
+    m_sentAt = m_parts.clock.now();
     m_lastTarget = target->id;
     std::optional<Milliseconds> silence;
     if (otherTargetWorthwhile()) {
@@ -226,7 +248,9 @@
     RelayAttempt attempt(m_parts, {m_request, *m_route, *target, sendTerms(*target), silence}, m_progress, m_sink, m_cancellation);
     attempt.onBegun([this, &target] {
         m_parts.fleet.began(target->id, m_request.promptTokens);
-        m_parts.metrics.distribution("first_event_seconds").observe(m_parts.clock.now() - m_request.arrived);
+        const Clock::TimePoint now = m_parts.clock.now();
+        m_parts.metrics.distribution("first_event_seconds").observe(now - m_request.arrived);
+        m_parts.times.observe(m_service->name, now - m_sentAt, now);
         m_stages.reset();
     });
     AttemptOutcome outcome = co_await attempt.run();
--- a/Source/Relay/RelayJob.h
+++ b/Source/Relay/RelayJob.h
@@ -66,6 +66,9 @@
     bool otherTargetWorthwhile() const;
     TargetDemand demand() const;
     SendTerms sendTerms(const TargetPick &target) const;
+    /// Returns the time by which an answer has to have begun, or its caller is gone.
+    Clock::TimePoint firstEventLimit() const;
+
     std::chrono::milliseconds timeLeft() const;
     std::chrono::milliseconds silenceLimit() const;
     void logEnd(std::string_view outcome, unsigned status) const;
@@ -81,6 +84,7 @@
     unsigned m_rank = 0;
     Clock::TimePoint m_deadline;
     Clock::TimePoint m_objective;
+    Clock::TimePoint m_sentAt; ///< The last attempt.
     std::unique_ptr<StageRun> m_stages;
     StreamProgress m_progress;
     Refusal m_refusal;
--- a/Source/Relay/RelayParts.h
+++ b/Source/Relay/RelayParts.h
@@ -11,6 +11,7 @@
 class PieceRouter;
 class RelayCodec;
 class RepeatBudget;
+class StageTimes;
 
 /// What relayed requests share. Every reference outlives the worker pool.
 struct RelayParts {
@@ -20,6 +21,7 @@
     ConnectionTable &connections;
     RepeatBudget &budget;
     PieceRouter &pieces;
+    StageTimes &times;
     const RelayCodec &codec;
     Metrics &metrics;
 };
--- a/Source/Site/SiteDaemon.cpp
+++ b/Source/Site/SiteDaemon.cpp
@@ -3,6 +3,7 @@
 #include "Batching/BatchOwner.h"
 #include "Batching/PieceRouter.h"
 #include "Batching/StageCodec.h"
+#include "Batching/StageTimes.h"
 #include "Decisions/Hash.h"
 #include "Fleet/Catalogue.h"
 #include "Fleet/CatalogueTable.h"
@@ -76,7 +77,9 @@
               }
           }))
     , m_pieces(std::make_unique<PieceRouter>(m_clock, *m_roster, *m_mesh, *m_batches))
-    , m_parts(new RelayParts{m_clock, *m_catalogue, *m_fleet, *m_connections, *m_budget, *m_pieces, m_site.relayCodec(), *m_metrics})
+    , m_times(std::make_unique<StageTimes>())
+    , m_parts(new RelayParts{m_clock, *m_catalogue, *m_fleet, *m_connections, *m_budget, *m_pieces, *m_times, m_site.relayCodec(),
+                             *m_metrics})
     , m_callers(std::make_unique<RelayFrontEnd>(*m_parts, m_pool->executor(), m_settings.callers))
     , m_readiness(std::make_unique<StatusServer>(m_pool->executor(), m_settings.readiness, [this](const std::string &path) {
         if (path != m_site.relayCodec().readinessPath()) {
--- a/Source/Site/SiteDaemon.h
+++ b/Source/Site/SiteDaemon.h
@@ -18,6 +18,7 @@
 class RelayFrontEnd;
 class Roster;
 class Site;
+class StageTimes;
 class StatusServer;
 class WorkerPool;
 
@@ -58,6 +59,7 @@
     std::unique_ptr<MeshNetwork> m_mesh;
     std::unique_ptr<BatchOwner> m_batches;
     std::unique_ptr<PieceRouter> m_pieces;
+    std::unique_ptr<StageTimes> m_times;
     std::unique_ptr<FleetFollower> m_follower;
     std::unique_ptr<RelayParts> m_parts;
     std::unique_ptr<RelayFrontEnd> m_callers;
