Hand queues over on a planned stop; start side stages late; learn of foreign results

Change: a stopping owner gives waiting pieces back; room counts as free once the target has said so; a target without room is taken to hold results of others for a while; stages beside a longer chain start in time for its end.

--- a/Source/Batching/BatchOwner.cpp
+++ b/Source/Batching/BatchOwner.cpp
@@ -33,10 +33,10 @@
 
 constexpr Milliseconds connectTimeout{300}; ///< Far above a round trip; a target that does not answer within it is passed over.
 constexpr Milliseconds freeTimeout{1'000}; ///< Results that were not freed end by themselves after seconds.
-constexpr Milliseconds freeDelay{40}; ///< Collects handles into one call; a fifth of a batch call.
+constexpr Milliseconds freeDelay{15}; ///< Collects handles into one call; short against a batch call.
 constexpr Milliseconds sweepInterval{50}; ///< For pieces that wait for a near target, for a refusal's end or past their deadline.
 constexpr Milliseconds refusalHold{60}; ///< After a target has refused a call: part of a call's time.
-constexpr Milliseconds fullHold{100}; ///< After a target had no room for a result.
+constexpr Milliseconds foreignTime{800}; ///< For which results of others are thought to lie at a target: two stages and an answer.
 constexpr Milliseconds callSlack{400}; ///< On top of twice the expected time, before a call counts as lost.
 constexpr unsigned mostTries = 4; ///< Calls that one piece may be in; beyond that its request has missed its objective.
 constexpr double waitInCall = 0.1; ///< Until the next target is idle, in calls, when several are busy.
@@ -76,6 +76,19 @@
     Asio::post(m_strand, [this, handles = std::move(handles)] { free(handles); });
 }
 
+void BatchOwner::handOver()
+{
+    Asio::post(m_strand, [this] {
+        m_handingOver = true;
+        for (auto &[name, service] : m_services) {
+            for (const BatchQueue::Entry &it : service.queue.takeAll()) {
+                give(it.origin, {it.piece.number, PieceResult::End::Moved, {}, {}});
+            }
+        }
+        giveAll();
+    });
+}
+
 void BatchOwner::stop()
 {
     Asio::post(m_strand, [this] {
@@ -89,9 +102,13 @@
     const Clock::TimePoint now = m_parts.clock.now();
     std::vector<std::string> names;
     for (Piece &it : pieces) {
+        if (m_handingOver) {
+            give(origin, {it.number, PieceResult::End::Moved, {}, {}});
+            continue;
+        }
         const std::string name = it.service;
         m_parts.budget.request(name, now);
-        if (it.inputs.empty() && hopeless(it, now)) {
+        if (it.refusable && hopeless(it, now)) {
             give(origin, {it.number, PieceResult::End::Refused, {}, {}});
             continue;
         }
@@ -148,7 +165,6 @@
         if (!worker) {
             worker = std::make_shared<BatchWorker>(*target);
         }
-        worker->room.free(handle);
         worker->toFree.push_back(handle);
         if (!worker->freeing) {
             worker->freeing = true;
@@ -170,13 +186,20 @@
         request.path = m_parts.codec.freePath();
         request.body = m_parts.codec.freeBody(worker->toFree);
         request.headers.push_back(m_parts.codec.expect(worker->target.id));
-        worker->toFree.clear();
+        const std::vector<std::string> freed = std::exchange(worker->toFree, {});
         const auto answer = co_await worker->freeCaller->call(std::move(request), connectTimeout, freeTimeout);
         if (!answer) {
             m_parts.metrics.counter("stage_free_failures_total").add();
+            continue; // They end by themselves, and take up room until then.
+        }
+        for (const std::string &it : freed) {
+            worker->room.free(it);
         }
     }
     worker->freeing = false;
+    if (!m_stopped) {
+        pump(worker->target.service);
+    }
 }
 
 std::vector<std::shared_ptr<BatchWorker>> BatchOwner::idleWorkers(Service &service, const std::string &name, Clock::TimePoint now) const
@@ -237,7 +260,7 @@
     m_parts.metrics.counter("stage_calls_total{service=\"" + name + "\"}").add();
     m_parts.metrics.counter("stage_pieces_total{service=\"" + name + "\"}").add(worker->inFlight.size());
     Asio::co_spawn(m_strand, call(name, worker, terms), Asio::detached);
-    if (std::ranges::any_of(worker->inFlight, [](const BatchQueue::Entry &it) { return !it.piece.inputs.empty(); })) {
+    if (worker->steady(m_parts.clock.now()) && std::ranges::any_of(worker->inFlight, [](const BatchQueue::Entry &it) { return !it.piece.inputs.empty(); })) {
         Asio::co_spawn(m_strand, tellTaken(worker, terms.callTime / 2), Asio::detached);
     }
 }
@@ -283,8 +306,7 @@
     if (answer && answer->status == 200) {
         worker->callEnded(now - start, expected, now);
         m_parts.metrics.distribution("stage_call_seconds").observe(now - start);
-        logCall(name, *worker, start, now);
-        answered(name, *worker, answer->body, terms);
+        answered(name, *worker, answer->body, terms, start);
     } else if (answer) {
         worker->holdUntil = now + refusalHold;
         failed(name, *worker, TargetReport::End::Refused);
@@ -302,23 +324,30 @@
     }
 }
 
-void BatchOwner::logCall(const std::string &name, const BatchWorker &worker, Clock::TimePoint start, Clock::TimePoint now)
+void BatchOwner::logCall(const std::string &name, const BatchWorker &worker, const std::vector<BatchQueue::Entry> &entries,
+                         const std::vector<StageCodec::Made> &made, Clock::TimePoint start)
 {
     const auto milliseconds = [](Clock::Duration it) { return std::to_string(std::chrono::duration_cast<Milliseconds>(it).count()); };
+    const auto count = [&](StageCodec::Made::End end) { return std::to_string(std::ranges::count(made, end, &StageCodec::Made::end)); };
+    const Clock::TimePoint now = m_parts.clock.now();
     Clock::TimePoint oldest = start;
-    for (const BatchQueue::Entry &it : worker.inFlight) {
+    for (const BatchQueue::Entry &it : entries) {
         oldest = std::min(oldest, it.arrived);
     }
     Log::state("batching", "call",
                {{"service", name},
                 {"target", worker.target.id},
-                {"pieces", std::to_string(worker.inFlight.size())},
+                {"pieces", std::to_string(entries.size())},
+                {"made", count(StageCodec::Made::End::Made)},
+                {"inputs_gone", count(StageCodec::Made::End::InputsGone)},
+                {"no_room", count(StageCodec::Made::End::NoRoom)},
                 {"oldest_wait_ms", milliseconds(start - oldest)},
                 {"took_ms", milliseconds(now - start)},
                 {"queued", std::to_string(m_services[name].queue.size())}});
 }
 
-void BatchOwner::answered(const std::string &name, BatchWorker &worker, const std::string &body, const BatchTerms &terms)
+void BatchOwner::answered(const std::string &name, BatchWorker &worker, const std::string &body, const BatchTerms &terms,
+                          Clock::TimePoint start)
 {
     const auto made = m_parts.codec.batchAnswer(body, worker.inFlight.size());
     if (!made) {
@@ -327,8 +356,10 @@
     }
     const Clock::TimePoint now = m_parts.clock.now();
     std::vector<std::string> unwanted;
+    bool noRoom = false;
     std::vector<BatchQueue::Entry> entries = std::move(worker.inFlight);
     worker.inFlight.clear();
+    logCall(name, worker, entries, *made, start);
     for (std::size_t it = 0; it < entries.size(); ++it) {
         BatchQueue::Entry &entry = entries[it];
         const StageCodec::Made &result = made->at(it);
@@ -348,7 +379,7 @@
             give(entry.origin, {entry.piece.number, PieceResult::End::InputsGone, {}, {}});
             break;
         case StageCodec::Made::End::NoRoom:
-            worker.room.full(now + fullHold);
+            noRoom = true;
             requeue(name, std::move(entry));
             break;
         case StageCodec::Made::End::Failed:
@@ -356,6 +387,9 @@
             break;
         }
     }
+    if (noRoom) {
+        worker.room.full(terms.roomBytes, now, now + foreignTime);
+    }
     m_parts.fleet.ended(worker.target.id, {TargetReport::End::Answered, {}, std::nullopt}, terms.callTime, now);
     free(unwanted);
 }
--- a/Source/Batching/BatchOwner.h
+++ b/Source/Batching/BatchOwner.h
@@ -2,6 +2,7 @@
 
 #include "Batching/BatchQueue.h"
 #include "Batching/PieceResult.h"
+#include "Batching/StageCodec.h"
 #include "Fleet/BatchTerms.h"
 #include "Fleet/TargetReport.h"
 
@@ -23,7 +24,6 @@
 class FleetTable;
 class Metrics;
 class RepeatBudget;
-class StageCodec;
 
 /// Batches the pieces of all daemons for the targets of the services that this daemon owns.
 ///
@@ -55,6 +55,9 @@
     /// Frees results at their makers.
     void release(std::vector<std::string> handles);
 
+    /// Gives waiting pieces back, so that they are sent to the next owner. Calls in progress go on.
+    void handOver();
+
     void stop();
 
 private:
@@ -82,8 +85,9 @@
                    const BatchTerms &terms);
     boost::asio::awaitable<void> call(std::string name, std::shared_ptr<BatchWorker> worker, BatchTerms terms);
     boost::asio::awaitable<void> tellTaken(std::shared_ptr<BatchWorker> worker, Clock::Duration after);
-    void logCall(const std::string &name, const BatchWorker &worker, Clock::TimePoint start, Clock::TimePoint now);
-    void answered(const std::string &name, BatchWorker &worker, const std::string &body, const BatchTerms &terms);
+    void logCall(const std::string &name, const BatchWorker &worker, const std::vector<BatchQueue::Entry> &entries,
+                 const std::vector<StageCodec::Made> &made, Clock::TimePoint start);
+    void answered(const std::string &name, BatchWorker &worker, const std::string &body, const BatchTerms &terms, Clock::TimePoint start);
     void failed(const std::string &name, BatchWorker &worker, TargetReport::End end);
     void requeue(const std::string &name, BatchQueue::Entry entry);
     void give(const std::string &origin, PieceResult result);
@@ -97,6 +101,7 @@
     std::map<std::string, Service> m_services;
     std::map<std::string, std::vector<PieceResult>> m_results; ///< To be delivered at the end of the current step, by daemon.
     boost::asio::steady_timer m_sweepTimer;
+    bool m_handingOver = false;
     bool m_stopped = false;
 };
 
--- a/Source/Batching/BatchQueue.cpp
+++ b/Source/Batching/BatchQueue.cpp
@@ -3,6 +3,7 @@
 #include "Fleet/BatchTerms.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Guavalock
 {
@@ -70,6 +71,11 @@
     return taken;
 }
 
+std::vector<BatchQueue::Entry> BatchQueue::takeAll()
+{
+    return std::exchange(m_entries, {});
+}
+
 void BatchQueue::cancel(const std::string &origin, const std::string &requestId)
 {
     std::erase_if(m_entries, [&](const Entry &it) { return it.origin == origin && it.piece.requestId == requestId; });
--- a/Source/Batching/BatchQueue.h
+++ b/Source/Batching/BatchQueue.h
@@ -36,6 +36,9 @@
     /// Removes and returns the pieces whose deadline has passed.
     std::vector<Entry> takeLate(Clock::TimePoint now);
 
+    /// Removes and returns all pieces.
+    std::vector<Entry> takeAll();
+
     /// Forgets the pieces of a request that nobody waits for any more.
     void cancel(const std::string &origin, const std::string &requestId);
 
--- a/Source/Batching/BatchWorker.cpp
+++ b/Source/Batching/BatchWorker.cpp
@@ -15,6 +15,8 @@
 
 constexpr double callWeight = 0.5; ///< Of one call in the running slowness: two calls tell whether a target is slow.
 constexpr double mostSlowness = 20;
+constexpr std::chrono::seconds steadyTime{2}; ///< What other daemons had sent before has ended by then.
+constexpr double steadySlowness = 2.0; ///< A longer call has waited behind another daemon's.
 constexpr Seconds slownessMemory{3}; ///< A slow target is tried again within a few seconds.
 
 } // namespace
@@ -31,6 +33,11 @@
     return 1.0 + (m_slowness - 1.0) * std::exp(-Seconds(now - m_lastCall) / slownessMemory);
 }
 
+bool BatchWorker::steady(Clock::TimePoint now) const
+{
+    return now - m_lastCall < steadyTime && m_slowness < steadySlowness;
+}
+
 void BatchWorker::callEnded(Clock::Duration took, Clock::Duration expected, Clock::TimePoint now)
 {
     const double ratio = std::clamp(Seconds(took) / Seconds(expected), 1.0, mostSlowness);
--- a/Source/Batching/BatchWorker.h
+++ b/Source/Batching/BatchWorker.h
@@ -24,6 +24,9 @@
     /// Returns how many times as long as stated the target's calls take; goes back to one while it gets none.
     double slowness(Clock::TimePoint now) const;
 
+    /// Returns whether the target's last call ended a moment ago and took its time, so that the next one begins when it arrives.
+    bool steady(Clock::TimePoint now) const;
+
     void callEnded(Clock::Duration took, Clock::Duration expected, Clock::TimePoint now);
 
     TargetPick target;
--- a/Source/Batching/Piece.h
+++ b/Source/Batching/Piece.h
@@ -22,6 +22,7 @@
     std::string nearDataCentre; ///< Where it is cheapest to make it; empty when anywhere.
     std::uint64_t nearBytes = 0; ///< That cross data centres when it is made elsewhere.
     std::uint64_t resultBytes = 0; ///< Approximate.
+    bool refusable = false; ///< Nothing has been made for its request yet, so that refusing it wastes nothing.
     unsigned rank = 0; ///< Zero is the most urgent.
     Clock::TimePoint wantedBy; ///< A result after this time makes the request miss its objective.
     Clock::TimePoint deadline; ///< A result after this time is of no use.
--- a/Source/Batching/PieceResult.h
+++ b/Source/Batching/PieceResult.h
@@ -13,6 +13,7 @@
         Late, ///< Its deadline passed before its turn.
         InputsGone, ///< An input no longer exists and has to be made again.
         Refused, ///< It would come too late after what waits already; nothing was made.
+        Moved, ///< Another daemon batches the service now; ask there.
         Taken, ///< Its target has read its inputs; the result follows.
         Failed, ///< It could not be made, after repeats where the budget allowed them.
     };
--- a/Source/Batching/PieceRouter.cpp
+++ b/Source/Batching/PieceRouter.cpp
@@ -60,7 +60,7 @@
     const Clock::TimePoint now = m_clock.now();
     std::map<std::string, std::vector<Piece>> byOwner;
     for (auto &[number, asked] : wait->asked()) {
-        if (m_roster.isLive(asked.owner, now) && now - asked.sent < answerLimit) {
+        if (m_roster.reachable(asked.owner, now) && now - asked.sent < answerLimit) {
             continue;
         }
         asked.owner = m_roster.owner(asked.piece.service, now);
--- a/Source/Batching/ResultRoom.cpp
+++ b/Source/Batching/ResultRoom.cpp
@@ -13,7 +13,8 @@
             ++it;
         }
     }
-    return now < m_fullUntil || m_bytes >= room ? 0 : room - m_bytes;
+    const std::uint64_t taken = m_bytes + (now < m_foreignUntil ? m_foreignBytes : 0);
+    return taken >= room ? 0 : room - taken;
 }
 
 void ResultRoom::add(const std::string &handle, std::uint64_t bytes, Clock::TimePoint until)
@@ -32,9 +33,10 @@
     }
 }
 
-void ResultRoom::full(Clock::TimePoint until)
+void ResultRoom::full(std::uint64_t room, Clock::TimePoint now, Clock::TimePoint until)
 {
-    m_fullUntil = until;
+    m_foreignBytes = (now < m_foreignUntil ? m_foreignBytes : 0) + left(room, now);
+    m_foreignUntil = until;
 }
 
 } // namespace Guavalock
--- a/Source/Batching/ResultRoom.h
+++ b/Source/Batching/ResultRoom.h
@@ -19,8 +19,10 @@
     void add(const std::string &handle, std::uint64_t bytes, Clock::TimePoint until);
     void free(const std::string &handle);
 
-    /// The target had less room than was thought: nothing more fits for a while.
-    void full(Clock::TimePoint until);
+    /// The target had no room although some was thought to be left: results that other daemons asked for lie there.
+    ///
+    /// Until a time, only what is freed from now on counts as room.
+    void full(std::uint64_t room, Clock::TimePoint now, Clock::TimePoint until);
 
 private:
     struct Held {
@@ -30,7 +32,8 @@
 
     std::map<std::string, Held> m_held;
     std::uint64_t m_bytes = 0;
-    Clock::TimePoint m_fullUntil;
+    std::uint64_t m_foreignBytes = 0; ///< Of results that this daemon did not ask for, until m_foreignUntil.
+    Clock::TimePoint m_foreignUntil;
 };
 
 } // namespace Guavalock
--- a/Source/Batching/StagePlan.cpp
+++ b/Source/Batching/StagePlan.cpp
@@ -7,6 +7,13 @@
 namespace Guavalock
 {
 
+namespace
+{
+
+constexpr std::chrono::milliseconds earlyStart{150}; ///< A stage beside a longer chain may end this much earlier: half a call.
+
+} // namespace
+
 StagePlan::StagePlan(const std::vector<StageNode> &stages, const std::vector<std::size_t> &counts, std::string requestId, std::string key)
     : m_requestId(std::move(requestId))
     , m_key(std::move(key))
@@ -77,11 +84,36 @@
     return piece;
 }
 
-std::vector<Piece> StagePlan::takeReady()
+Clock::Duration StagePlan::chainTime(std::size_t stage, const ExpectedTime &expected) const
+{
+    Clock::Duration time = expected(m_stages[stage].node.service);
+    for (const std::string &it : servicesAfter(stage)) {
+        time += expected(it);
+    }
+    return time;
+}
+
+Clock::Duration StagePlan::remainingTime(const ExpectedTime &expected) const
+{
+    Clock::Duration time{};
+    for (std::size_t it = 0; it < m_stages.size(); ++it) {
+        if (done(m_stages[it])) {
+            continue;
+        }
+        // A stage that is being made is half over on average.
+        const bool asked = std::ranges::any_of(m_stages[it].fragments, &Fragment::asked);
+        const Clock::Duration past = asked ? expected(m_stages[it].node.service) / 2 : Clock::Duration::zero();
+        time = std::max(time, chainTime(it, expected) - past);
+    }
+    return time;
+}
+
+std::vector<Piece> StagePlan::takeReady(const ExpectedTime &expected)
 {
     std::vector<Piece> pieces;
+    const Clock::Duration remaining = remainingTime(expected);
     for (std::size_t stage = 0; stage < m_stages.size(); ++stage) {
-        if (!ready(m_stages[stage])) {
+        if (!ready(m_stages[stage]) || chainTime(stage, expected) + earlyStart < remaining) {
             continue;
         }
         std::vector<Fragment> &fragments = m_stages[stage].fragments;
@@ -149,6 +181,11 @@
     return dropped;
 }
 
+bool StagePlan::started() const
+{
+    return std::ranges::any_of(m_stages, [](const Stage &it) { return std::ranges::any_of(it.fragments, &Fragment::made); });
+}
+
 bool StagePlan::used(std::size_t stage) const
 {
     bool taken = false;
--- a/Source/Batching/StagePlan.h
+++ b/Source/Batching/StagePlan.h
@@ -3,6 +3,7 @@
 #include "Batching/Piece.h"
 #include "Fleet/StageNode.h"
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -14,6 +15,7 @@
 class StagePlan
 {
 public:
+    using ExpectedTime = std::function<Clock::Duration(const std::string &service)>; ///< Of one stage at a service.
     using Handles = std::map<std::string, std::vector<std::string>>; ///< By service.
 
     /// Stages with a count of zero are left out, and so are stages for which no count is given.
@@ -22,8 +24,10 @@
     /// Sets the data centre in which the request will probably be answered, so that results are made near it.
     void setDestination(std::string dataCentre);
 
-    /// Returns the pieces that can be made now and have not been asked for. Numbers, rank and times are left to the caller.
-    std::vector<Piece> takeReady();
+    /// Returns the pieces that are due and have not been asked for. Numbers, rank and times are left to the caller.
+    ///
+    /// A stage beside a longer chain of stages is due when that chain needs no longer than it, so that its results do not lie about.
+    std::vector<Piece> takeReady(const ExpectedTime &expected);
 
     void made(std::size_t stage, std::size_t fragment, std::string handle, const std::string &dataCentre);
 
@@ -44,6 +48,9 @@
 
     bool complete() const;
 
+    /// Returns whether any result has been made.
+    bool started() const;
+
     /// Returns the services of the longest chain of stages that still follows a stage.
     std::vector<std::string> servicesAfter(std::size_t stage) const;
 
@@ -76,6 +83,12 @@
 
     bool done(const Stage &stage) const;
     bool ready(const Stage &stage) const;
+
+    /// Returns the time that a stage and the longest chain after it need.
+    Clock::Duration chainTime(std::size_t stage, const ExpectedTime &expected) const;
+
+    /// Returns the time until all stages are made.
+    Clock::Duration remainingTime(const ExpectedTime &expected) const;
     void reset(std::size_t stage, Handles &dropped);
     bool used(std::size_t stage) const;
     Piece piece(std::size_t stage, std::size_t fragment) const;
--- a/Source/Batching/StageRun.cpp
+++ b/Source/Batching/StageRun.cpp
@@ -40,15 +40,17 @@
 
 void StageRun::submitReady()
 {
-    std::vector<Piece> pieces = m_plan.takeReady();
     const Clock::TimePoint now = m_clock.now();
+    const auto expected = [&](const std::string &service) { return m_times.expected(service, stageTime, now); };
+    std::vector<Piece> pieces = m_plan.takeReady(expected);
     const Clock::TimePoint answerFrom = m_terms.objective - m_times.expected(m_terms.answerService, answerTime, now);
     for (Piece &it : pieces) {
+        it.refusable = !m_plan.started();
         it.rank = m_terms.rank;
         it.deadline = m_terms.deadline;
         it.wantedBy = answerFrom;
         for (const std::string &service : m_plan.servicesAfter(it.stage)) {
-            it.wantedBy -= m_times.expected(service, stageTime, now);
+            it.wantedBy -= expected(service);
         }
     }
     if (!pieces.empty()) {
@@ -65,6 +67,9 @@
     case PieceResult::End::InputsGone:
         m_router.release(m_plan.inputsGone(piece.stage, piece.fragment));
         return End::Complete;
+    case PieceResult::End::Moved:
+        m_plan.lost(piece.stage, piece.fragment);
+        return End::Complete;
     case PieceResult::End::Taken:
         m_plan.taken(piece.stage, piece.fragment);
         return End::Complete;
--- a/Source/Mesh/Generated/Mesh_generated.h
+++ b/Source/Mesh/Generated/Mesh_generated.h
@@ -316,7 +316,8 @@
     VT_RESULT_BYTES = 22,
     VT_RANK = 24,
     VT_WANTED_IN_US = 26,
-    VT_LEFT_US = 28
+    VT_LEFT_US = 28,
+    VT_REFUSABLE = 30
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -357,6 +358,9 @@
   int64_t left_us() const {
     return GetField<int64_t>(VT_LEFT_US, 0);
   }
+  bool refusable() const {
+    return GetField<uint8_t>(VT_REFUSABLE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -378,6 +382,7 @@
            VerifyField<uint32_t>(verifier, VT_RANK, 4) &&
            VerifyField<int64_t>(verifier, VT_WANTED_IN_US, 8) &&
            VerifyField<int64_t>(verifier, VT_LEFT_US, 8) &&
+           VerifyField<uint8_t>(verifier, VT_REFUSABLE, 1) &&
            verifier.EndTable();
   }
 };
@@ -425,6 +430,9 @@
   void add_left_us(int64_t left_us) {
     fbb_.AddElement<int64_t>(Piece::VT_LEFT_US, left_us, 0);
   }
+  void add_refusable(bool refusable) {
+    fbb_.AddElement<uint8_t>(Piece::VT_REFUSABLE, static_cast<uint8_t>(refusable), 0);
+  }
   explicit PieceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -450,7 +458,8 @@
     uint64_t result_bytes = 0,
     uint32_t rank = 0,
     int64_t wanted_in_us = 0,
-    int64_t left_us = 0) {
+    int64_t left_us = 0,
+    bool refusable = false) {
   PieceBuilder builder_(_fbb);
   builder_.add_left_us(left_us);
   builder_.add_wanted_in_us(wanted_in_us);
@@ -465,6 +474,7 @@
   builder_.add_request_id(request_id);
   builder_.add_fragment(fragment);
   builder_.add_stage(stage);
+  builder_.add_refusable(refusable);
   return builder_.Finish();
 }
 
@@ -487,7 +497,8 @@
     uint64_t result_bytes = 0,
     uint32_t rank = 0,
     int64_t wanted_in_us = 0,
-    int64_t left_us = 0) {
+    int64_t left_us = 0,
+    bool refusable = false) {
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto key__ = key ? _fbb.CreateString(key) : 0;
@@ -507,7 +518,8 @@
       result_bytes,
       rank,
       wanted_in_us,
-      left_us);
+      left_us,
+      refusable);
 }
 
 struct Pieces FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Source/Mesh/MeshCodec.cpp
+++ b/Source/Mesh/MeshCodec.cpp
@@ -58,7 +58,8 @@
     const auto dataCentre = builder.CreateSharedString(piece.nearDataCentre);
     return MeshWire::CreatePiece(builder, piece.number, id, static_cast<std::uint16_t>(piece.stage),
                                  static_cast<std::uint16_t>(piece.fragment), service, key, inputs, dataCentre, piece.nearBytes,
-                                 piece.resultBytes, piece.rank, microsecondsTo(piece.wantedBy, now), microsecondsTo(piece.deadline, now));
+                                 piece.resultBytes, piece.rank, microsecondsTo(piece.wantedBy, now), microsecondsTo(piece.deadline, now),
+                                 piece.refusable);
 }
 
 Piece readPiece(const MeshWire::Piece &wire, Clock::TimePoint now)
@@ -77,6 +78,7 @@
     piece.rank = wire.rank();
     piece.wantedBy = timeIn(wire.wanted_in_us(), now);
     piece.deadline = timeIn(wire.left_us(), now);
+    piece.refusable = wire.refusable();
     return piece;
 }
 
--- a/Source/Mesh/Roster.cpp
+++ b/Source/Mesh/Roster.cpp
@@ -73,37 +73,46 @@
     }
 }
 
-bool Roster::usable(const Member &member, Clock::TimePoint now) const
+bool Roster::present(const Member &member, Clock::TimePoint now)
 {
-    return member.linked && !member.draining && now - member.heard < silenceLimit;
+    return member.linked && now - member.heard < silenceLimit;
 }
 
 std::vector<MemberRecord> Roster::live(Clock::TimePoint now) const
 {
-    std::vector<MemberRecord> found{m_self};
+    std::vector<MemberRecord> found;
     const std::scoped_lock lock(m_mutex);
     for (const auto &[vm, member] : m_members) {
-        if (usable(member, now)) {
+        if (present(member, now) && !member.draining) {
             found.push_back(member.record);
         }
     }
+    if (found.empty() || !m_draining) {
+        found.push_back(m_self);
+    }
     return found;
 }
 
+void Roster::startDraining()
+{
+    const std::scoped_lock lock(m_mutex);
+    m_draining = true;
+}
+
 std::string Roster::owner(const std::string &service, Clock::TimePoint now) const
 {
     const std::vector<MemberRecord> members = live(now);
     return std::ranges::max_element(members, {}, [&](const MemberRecord &it) { return score(service, it); })->vm;
 }
 
-bool Roster::isLive(const std::string &vm, Clock::TimePoint now) const
+bool Roster::reachable(const std::string &vm, Clock::TimePoint now) const
 {
     if (vm == m_self.vm) {
         return true;
     }
     const std::scoped_lock lock(m_mutex);
     const auto it = m_members.find(vm);
-    return it != m_members.end() && usable(it->second, now);
+    return it != m_members.end() && present(it->second, now);
 }
 
 std::vector<MemberRecord> Roster::known() const
--- a/Source/Mesh/Roster.h
+++ b/Source/Mesh/Roster.h
@@ -41,7 +41,11 @@
     /// Returns the live daemon that batches the pieces of a service: the highest hash, weighted by its share of a processor.
     std::string owner(const std::string &service, Clock::TimePoint now) const;
 
-    bool isLive(const std::string &vm, Clock::TimePoint now) const;
+    /// Returns whether a daemon is there to finish what it was given, also while it drains.
+    bool reachable(const std::string &vm, Clock::TimePoint now) const;
+
+    /// This daemon takes no new work if another can.
+    void startDraining();
 
     std::vector<MemberRecord> known() const;
 
@@ -53,11 +57,12 @@
         bool draining = false;
     };
 
-    bool usable(const Member &member, Clock::TimePoint now) const;
+    static bool present(const Member &member, Clock::TimePoint now);
 
     MemberRecord m_self;
     mutable RankedMutex m_mutex{LockRank::Members};
     std::map<std::string, Member> m_members;
+    bool m_draining = false;
 };
 
 } // namespace Guavalock
--- a/Source/Site/SiteDaemon.cpp
+++ b/Source/Site/SiteDaemon.cpp
@@ -184,7 +184,9 @@
     m_draining = true;
     Log::state("daemon", "stopping", {{"requests", std::to_string(m_callers->requests())}});
     m_callers->startDraining();
+    m_roster->startDraining();
     m_mesh->startDraining();
+    m_batches->handOver();
     boost::asio::io_context timers;
     Asio::steady_timer timer(timers);
     timer.expires_after(std::min<Clock::Duration>(noticeTime, m_settings.graceTime / 2));
