Let refusals reckon with the batches that room allows

Cause: gate-svc calls on spr carried 5 of 8 pieces because results of 1.5 MB fill their makers; the estimate of the wait took full batches for granted.

--- a/Source/Batching/BatchOwner.cpp
+++ b/Source/Batching/BatchOwner.cpp
@@ -39,6 +39,7 @@
 constexpr Milliseconds foreignTime{800}; ///< For which results of others are thought to lie at a target: two stages and an answer.
 constexpr Milliseconds callSlack{400}; ///< On top of twice the expected time, before a call counts as lost.
 constexpr unsigned mostTries = 4; ///< Calls that one piece may be in; beyond that its request has missed its objective.
+constexpr double batchWeight = 0.1; ///< Of one call in the running batch size: about two calls of each target.
 constexpr double waitInCall = 0.1; ///< Until the next target is idle, in calls, when several are busy.
 constexpr Milliseconds refusalSlack{150}; ///< A request has to miss its objective by this much before it is refused for that.
 constexpr double slowLimit = 2.0; ///< A target that takes this many times the stated time is slow.
@@ -133,7 +134,9 @@
     }
     const BatchTerms &terms = *record->batch;
     const std::size_t targets = std::max<std::size_t>(m_parts.fleet.usable(piece.service, now).size(), 1);
-    const double calls = static_cast<double>(service.queue.ahead(piece, terms, now)) / static_cast<double>(targets * terms.batchLimit);
+    // Room for results may keep calls below the batch limit.
+    const double batch = service.batch > 0 ? service.batch : static_cast<double>(terms.batchLimit);
+    const double calls = static_cast<double>(service.queue.ahead(piece, terms, now)) / (static_cast<double>(targets) * batch);
     const Clock::Duration full = expectedTime(terms, terms.batchLimit);
     const auto wait = std::chrono::duration_cast<Clock::Duration>(full * (calls + waitInCall));
     return now + wait + full > piece.wantedBy + refusalSlack;
@@ -246,6 +249,8 @@
         std::vector<BatchQueue::Entry> entries
             = service.queue.take(terms, worker->room.left(terms.roomBytes, now), worker->target.dataCentre, now);
         if (!entries.empty()) {
+            const double full = static_cast<double>(service.queue.empty() ? terms.batchLimit : entries.size());
+            service.batch = service.batch == 0 ? full : service.batch + batchWeight * (full - service.batch);
             startCall(name, worker, std::move(entries), terms);
         }
     }
--- a/Source/Batching/BatchOwner.h
+++ b/Source/Batching/BatchOwner.h
@@ -66,6 +66,7 @@
     struct Service {
         BatchQueue queue;
         Workers workers; ///< By the target's id.
+        double batch = 0; ///< Pieces that calls have lately carried while more waited; zero while none were held back.
     };
 
     void add(const std::string &origin, std::vector<Piece> pieces);
