--- a/Source/Batching/BatchOwner.cpp
+++ b/Source/Batching/BatchOwner.cpp
@@ -265,7 +265,8 @@
     m_parts.metrics.counter("stage_calls_total{service=\"" + name + "\"}").add();
     m_parts.metrics.counter("stage_pieces_total{service=\"" + name + "\"}").add(worker->inFlight.size());
     Asio::co_spawn(m_strand, call(name, worker, terms), Asio::detached);
-    if (worker->steady(m_parts.clock.now()) && std::ranges::any_of(worker->inFlight, [](const BatchQueue::Entry &it) { return !it.piece.inputs.empty(); })) {
+    if (worker->steady(m_parts.clock.now())
+        && std::ranges::any_of(worker->inFlight, [](const BatchQueue::Entry &it) { return !it.piece.inputs.empty(); })) {
         Asio::co_spawn(m_strand, tellTaken(worker, terms.callTime / 2), Asio::detached);
     }
 }
@@ -332,8 +333,12 @@
 void BatchOwner::logCall(const std::string &name, const BatchWorker &worker, const std::vector<BatchQueue::Entry> &entries,
                          const std::vector<StageCodec::Made> &made, Clock::TimePoint start)
 {
-    const auto milliseconds = [](Clock::Duration it) { return std::to_string(std::chrono::duration_cast<Milliseconds>(it).count()); };
-    const auto count = [&](StageCodec::Made::End end) { return std::to_string(std::ranges::count(made, end, &StageCodec::Made::end)); };
+    const auto milliseconds = [](Clock::Duration it) {
+        return std::to_string(std::chrono::duration_cast<Milliseconds>(it).count());
+    };
+    const auto count = [&](StageCodec::Made::End end) {
+        return std::to_string(std::ranges::count(made, end, &StageCodec::Made::end));
+    };
     const Clock::TimePoint now = m_parts.clock.now();
     Clock::TimePoint oldest = start;
     for (const BatchQueue::Entry &it : entries) {
--- a/Source/Batching/PieceWait.h
+++ b/Source/Batching/PieceWait.h
@@ -36,7 +36,8 @@
     /// Hands results over. Callable from any thread.
     void deliver(std::vector<PieceResult> results);
 
-    /// Waits for results until a time, or until the request is cancelled. Each asked piece gives one result, and may be told as taken before.
+    /// Waits for results until a time, or until the request is cancelled. Each asked piece gives one result, and may be told as taken
+    /// before.
     boost::asio::awaitable<std::vector<Arrived>> next(Clock::TimePoint until);
 
     std::map<std::uint64_t, Asked> &asked();
--- a/Source/Batching/StageRun.cpp
+++ b/Source/Batching/StageRun.cpp
@@ -41,7 +41,9 @@
 void StageRun::submitReady()
 {
     const Clock::TimePoint now = m_clock.now();
-    const auto expected = [&](const std::string &service) { return m_times.expected(service, stageTime, now); };
+    const auto expected = [&](const std::string &service) {
+        return m_times.expected(service, stageTime, now);
+    };
     std::vector<Piece> pieces = m_plan.takeReady(expected);
     const Clock::TimePoint answerFrom = m_terms.objective - m_times.expected(m_terms.answerService, answerTime, now);
     for (Piece &it : pieces) {
--- a/Source/Batching/StageRun.h
+++ b/Source/Batching/StageRun.h
@@ -33,7 +33,8 @@
         std::string answerService; ///< That answers the request after its stages.
     };
 
-    StageRun(PieceRouter &router, StageTimes &times, const Clock &clock, StagePlan plan, Terms terms, Cancellation &cancellation, std::string requestId);
+    StageRun(PieceRouter &router, StageTimes &times, const Clock &clock, StagePlan plan, Terms terms, Cancellation &cancellation,
+             std::string requestId);
     ~StageRun();
 
     StageRun(const StageRun &) = delete;
--- a/Source/Daemon/main.cpp
+++ b/Source/Daemon/main.cpp
@@ -29,14 +29,15 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     return signals;
 }
 
-/// Starts a daemon and stops it with the first stop signal.
-template <class AnyDaemon>
-int serve(AnyDaemon &daemon, const sigset_t &signals)
+/// Starts a daemon and stops it with the first stop signal. Reload is called with every hang-up signal.
+template <class AnyDaemon, class Reload>
+int serve(AnyDaemon &daemon, const sigset_t &signals, Reload reload)
 {
     try {
         daemon.start();
@@ -46,6 +47,10 @@
     }
     int signal = 0;
     sigwait(&signals, &signal);
+    while (signal == SIGHUP) {
+        reload();
+        sigwait(&signals, &signal);
+    }
     return daemon.stop() ? 0 : exitCut;
 }
 
@@ -70,7 +75,15 @@
     const sigset_t signals = blockStopSignals();
     Log::start(settings->self.vm);
     SiteDaemon daemon(*site, *settings);
-    return serve(daemon, signals);
+    return serve(daemon, signals, [&] {
+        Reason reloadReason;
+        const std::optional<SiteSettings> renewed = site->settings(reloadReason);
+        if (renewed) {
+            daemon.reload(*renewed);
+        } else {
+            Log::warning("daemon", "reload-refused", {{"reason", reloadReason.text}});
+        }
+    });
 }
 
 } // namespace
@@ -97,5 +110,5 @@
     const sigset_t signals = blockStopSignals();
     Log::start(settings->vm);
     Daemon daemon(*settings);
-    return serve(daemon, signals);
+    return serve(daemon, signals, [] { Log::state("daemon", "reload-ignored", {{"reason", "settings are read at the start only"}}); });
 }
--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -39,10 +39,13 @@
 
 /// In the order of Topic. Targets write all the time, so only the distance limits those reads; it is a quarter of the time within
 /// which a leaving target has to get no more work. A read of the operator's records is short so that a silent connection shows.
-constexpr std::array readTerms{ReadTerms{Milliseconds(2'000), Milliseconds(3'000), Milliseconds(50)},
+constexpr std::array readTerms{ReadTerms{Milliseconds(1'000), Milliseconds(2'000), Milliseconds(50)},
                                ReadTerms{Milliseconds(1'000), Milliseconds(1'800), Milliseconds(500)},
-                               ReadTerms{Milliseconds(15'000), Milliseconds(17'000), Milliseconds(500)}};
+                               ReadTerms{Milliseconds(1'000), Milliseconds(2'000), Milliseconds(1'000)}};
 
+constexpr Milliseconds peerDistance{500}; ///< Between two questions to the daemon that reads for others.
+constexpr Milliseconds peerTimeout{150}; ///< For its answer, which takes a round trip.
+constexpr Milliseconds peerFreshness{1'200}; ///< Older records are not relied on; the store is read instead.
 constexpr Milliseconds callTimeout{1'500}; ///< For calls that the store answers at once.
 constexpr Milliseconds firstPause{150}; ///< Between tries while the store does not answer.
 constexpr Milliseconds longestPause{700}; ///< Short against the time in which changes have to be in force.
@@ -107,6 +110,12 @@
     bool forgotten = false;
     while (!m_stopped) {
         const Clock::TimePoint start = m_parts.clock.now();
+        const bool fromPeer = co_await readFromPeer(topic);
+        if (fromPeer) {
+            timer.expires_at(start + peerDistance);
+            co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
+            continue;
+        }
         const bool fresh = forgotten || m_parts.mirror.progress(topic).next == 0;
         const bool read = fresh ? co_await readNewest(*store, topic) : co_await readOn(*store, topic, forgotten);
         if (read && fresh) {
@@ -134,7 +143,7 @@
     if (!newest) {
         co_return false;
     }
-    apply(topic, m_parts.mirror.replace(topic, newest->records, newest->next, m_parts.clock.now()));
+    apply(topic, m_parts.mirror.replace({topic, newest->records, newest->next, m_parts.clock.now()}));
     co_return true;
 }
 
@@ -150,19 +159,24 @@
     if (read.end == RecordStore::ReadEnd::Failed) {
         co_return false;
     }
-    const std::vector<KeyedRecord> newer = m_parts.mirror.apply(topic, read.records, read.next, m_parts.clock.now());
-    apply(topic, newer);
-    if (topic == Topic::Operator && !newer.empty()) {
-        m_events.tellPeers(topic, read.next, newer);
-    }
+    apply(topic, m_parts.mirror.apply({topic, read.records, read.next, m_parts.clock.now()}));
     co_return true;
 }
 
-void FleetFollower::takeFromPeer(Topic topic, std::uint64_t next, const std::vector<KeyedRecord> &records)
+void FleetFollower::takeFromPeer(const RecordUpdate &update)
+{
+    Asio::post(m_strand, [this, update] { apply(update.topic, m_parts.mirror.apply(update)); });
+}
+
+Asio::awaitable<bool> FleetFollower::readFromPeer(Topic topic)
 {
-    Asio::post(m_strand, [this, topic, next, records] {
-        apply(topic, m_parts.mirror.apply(topic, records, next, m_parts.clock.now()));
-    });
+    const std::string reader = m_events.reader(topic);
+    if (reader.empty() || !m_events.askReader(reader, topic, m_parts.mirror.progress(topic).next)) {
+        co_return false;
+    }
+    Asio::steady_timer timer(m_strand, peerTimeout);
+    co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
+    co_return m_parts.mirror.progress(topic).confirmed > m_parts.clock.now() - peerFreshness;
 }
 
 void FleetFollower::apply(Topic topic, const std::vector<KeyedRecord> &records)
--- a/Source/Fleet/FleetFollower.h
+++ b/Source/Fleet/FleetFollower.h
@@ -1,8 +1,7 @@
 #pragma once
 
 #include "Decisions/RandomEngine.h"
-#include "Fleet/KeyedRecord.h"
-#include "Fleet/Topic.h"
+#include "Fleet/RecordUpdate.h"
 #include "Kernel/Clock.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -43,8 +42,12 @@
 
     /// What the follower asks of the rest of the daemon.
     struct Events {
+        /// Asks any peers for records, because the store does not answer.
         std::function<void(Topic, std::uint64_t from)> askPeers;
-        std::function<void(Topic, std::uint64_t next, const std::vector<KeyedRecord> &)> tellPeers;
+        /// Returns the daemon that reads a topic on behalf of this one, or nothing when this one reads itself.
+        std::function<std::string(Topic)> reader;
+        /// Asks that daemon; returns false when it cannot be asked.
+        std::function<bool(const std::string &vm, Topic, std::uint64_t from)> askReader;
         std::function<void(const MemberRecord &)> member;
         std::function<void(const std::string &vm)> memberLeft;
     };
@@ -64,7 +67,7 @@
     bool ready() const;
 
     /// Takes records in that a peer has sent. Callable from any thread.
-    void takeFromPeer(Topic topic, std::uint64_t next, const std::vector<KeyedRecord> &records);
+    void takeFromPeer(const RecordUpdate &update);
 
 private:
     struct Removal {
@@ -73,6 +76,8 @@
     };
 
     boost::asio::awaitable<void> follow(Topic topic);
+    /// Has another daemon's records sent here. Returns false when none came that are fresh, so that the store has to be read.
+    boost::asio::awaitable<bool> readFromPeer(Topic topic);
     boost::asio::awaitable<bool> readOn(RecordStore &store, Topic topic, bool &forgotten);
     boost::asio::awaitable<bool> readNewest(RecordStore &store, Topic topic);
     boost::asio::awaitable<void> writeSelf(MemberRecord self);
--- a/Source/Fleet/FleetTable.cpp
+++ b/Source/Fleet/FleetTable.cpp
@@ -119,7 +119,8 @@
     // Suspects and targets already tried are better than none.
     const std::vector<TargetBelief *> &group = !found.empty() ? found : !suspects.empty() ? suspects : tried;
     if (group.empty()) {
-        reason = {ResultCode::NoTarget, "none of " + std::to_string(known) + " known targets of service " + demand.service + " may be used"};
+        reason
+            = {ResultCode::NoTarget, "none of " + std::to_string(known) + " known targets of service " + demand.service + " may be used"};
         return nullptr;
     }
     std::vector<TargetChooser::Candidate> candidates;
@@ -133,8 +134,7 @@
     return group[chooser->choose(candidates, demand.affinity, m_random)];
 }
 
-std::optional<TargetPick> FleetTable::choose(const TargetDemand &demand, const ServiceRecord &service, Clock::TimePoint now,
-                                             Reason &reason)
+std::optional<TargetPick> FleetTable::choose(const TargetDemand &demand, const ServiceRecord &service, Clock::TimePoint now, Reason &reason)
 {
     const std::scoped_lock lock(m_mutex);
     TargetBelief *target = find(demand, service, now, reason);
--- a/Source/Fleet/RecordMirror.cpp
+++ b/Source/Fleet/RecordMirror.cpp
@@ -29,40 +29,38 @@
     return m_topics.at(static_cast<std::size_t>(topic));
 }
 
-std::vector<KeyedRecord> RecordMirror::apply(Topic topic, const std::vector<KeyedRecord> &records, std::uint64_t next,
-                                             Clock::TimePoint now)
+std::vector<KeyedRecord> RecordMirror::apply(const RecordUpdate &update)
 {
     const std::scoped_lock lock(m_mutex);
-    Held &held = this->held(topic);
+    Held &held = this->held(update.topic);
     std::vector<KeyedRecord> newer;
-    for (const KeyedRecord &it : records) {
+    for (const KeyedRecord &it : update.records) {
         if (adopt(held, it)) {
             newer.push_back(it);
         }
     }
-    if (next >= held.progress.next) {
-        held.progress = {next, now};
+    if (update.next >= held.progress.next) {
+        held.progress.next = update.next;
+        held.progress.confirmed = std::max(held.progress.confirmed, update.confirmed);
     }
     return newer;
 }
 
-std::vector<KeyedRecord> RecordMirror::replace(Topic topic, const std::vector<KeyedRecord> &newest, std::uint64_t next,
-                                               Clock::TimePoint now)
+std::vector<KeyedRecord> RecordMirror::replace(RecordUpdate newest)
 {
     std::set<std::string> keys;
-    for (const KeyedRecord &it : newest) {
+    for (const KeyedRecord &it : newest.records) {
         keys.insert(it.key);
     }
-    std::vector<KeyedRecord> changes = newest;
     {
         const std::scoped_lock lock(m_mutex);
-        for (const auto &[key, record] : held(topic).records) {
-            if (record.value && record.offset < next && !keys.contains(key)) {
-                changes.push_back({key, std::nullopt, next - 1});
+        for (const auto &[key, record] : held(newest.topic).records) {
+            if (record.value && record.offset < newest.next && !keys.contains(key)) {
+                newest.records.push_back({key, std::nullopt, newest.next - 1});
             }
         }
     }
-    return apply(topic, changes, next, now);
+    return apply(newest);
 }
 
 RecordMirror::Progress RecordMirror::progress(Topic topic) const
@@ -71,16 +69,17 @@
     return held(topic).progress;
 }
 
-std::vector<KeyedRecord> RecordMirror::since(Topic topic, std::uint64_t from) const
+RecordUpdate RecordMirror::since(Topic topic, std::uint64_t from) const
 {
     const std::scoped_lock lock(m_mutex);
-    std::vector<KeyedRecord> found;
-    for (const auto &[key, record] : held(topic).records) {
+    const Held &held = this->held(topic);
+    RecordUpdate update{topic, {}, held.progress.next, held.progress.confirmed};
+    for (const auto &[key, record] : held.records) {
         if (record.offset >= from) {
-            found.push_back(record);
+            update.records.push_back(record);
         }
     }
-    return found;
+    return update;
 }
 
 } // namespace Guavalock
--- a/Source/Fleet/RecordMirror.h
+++ b/Source/Fleet/RecordMirror.h
@@ -1,13 +1,11 @@
 #pragma once
 
-#include "Fleet/KeyedRecord.h"
-#include "Fleet/Topic.h"
+#include "Fleet/RecordUpdate.h"
 #include "Kernel/Clock.h"
 #include "Kernel/RankedMutex.h"
 
 #include <array>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,19 +20,19 @@
 public:
     struct Progress {
         std::uint64_t next = 0; ///< The first offset not yet read.
-        std::optional<Clock::TimePoint> confirmed; ///< When the store or a peer that reads it last told of the topic's end.
+        Clock::TimePoint confirmed; ///< When everything before that was last known to be here.
     };
 
     /// Takes records in; returns those that are newer than what was held.
-    std::vector<KeyedRecord> apply(Topic topic, const std::vector<KeyedRecord> &records, std::uint64_t next, Clock::TimePoint now);
+    std::vector<KeyedRecord> apply(const RecordUpdate &update);
 
     /// Takes the complete newest records in. Keys held below the offset and missing there count as dropped.
-    std::vector<KeyedRecord> replace(Topic topic, const std::vector<KeyedRecord> &newest, std::uint64_t next, Clock::TimePoint now);
+    std::vector<KeyedRecord> replace(RecordUpdate newest);
 
     Progress progress(Topic topic) const;
 
-    /// Returns held records from an offset on, dropped keys included.
-    std::vector<KeyedRecord> since(Topic topic, std::uint64_t from) const;
+    /// Returns what is held from an offset on, dropped keys included.
+    RecordUpdate since(Topic topic, std::uint64_t from) const;
 
 private:
     struct Held {
--- a/Source/Fleet/RecordStore.h
+++ b/Source/Fleet/RecordStore.h
@@ -47,11 +47,13 @@
 
     /// Returns records from an offset on. With none there, the store holds the call for up to the wait.
     virtual boost::asio::awaitable<Read> read(Topic topic, std::uint64_t from, std::chrono::milliseconds wait,
-                                              std::chrono::milliseconds timeout) = 0;
+                                              std::chrono::milliseconds timeout)
+        = 0;
 
     /// Writes a record, or drops its key when the value is empty.
     virtual boost::asio::awaitable<PutEnd> put(Topic topic, std::string key, std::optional<std::string> value,
-                                               std::chrono::milliseconds timeout) = 0;
+                                               std::chrono::milliseconds timeout)
+        = 0;
 };
 
 } // namespace Guavalock
--- a/Source/Fleet/RepeatBudget.cpp
+++ b/Source/Fleet/RepeatBudget.cpp
@@ -17,6 +17,12 @@
 {
 }
 
+void RepeatBudget::setTerms(Terms terms)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_terms = terms;
+}
+
 void RepeatBudget::setMembers(std::size_t members)
 {
     const std::scoped_lock lock(m_mutex);
--- a/Source/Fleet/RepeatBudget.h
+++ b/Source/Fleet/RepeatBudget.h
@@ -25,6 +25,8 @@
 
     explicit RepeatBudget(Terms terms);
 
+    void setTerms(Terms terms);
+
     /// Sets among how many daemons the allowance is divided.
     void setMembers(std::size_t members);
 
--- a/Source/Kernel/Clock.h
+++ b/Source/Kernel/Clock.h
@@ -18,6 +18,12 @@
     /// Returns monotonic time, for deadlines, leases and measurements.
     virtual TimePoint now() const = 0;
 
+    /// Returns how long the machine has been suspended since it started; monotonic time stands still meanwhile.
+    virtual Duration suspended() const
+    {
+        return Duration::zero();
+    }
+
     /// Returns the time of day, for records that other machines read.
     virtual WallTime wallNow() const = 0;
 };
--- a/Source/Kernel/SystemClock.h
+++ b/Source/Kernel/SystemClock.h
@@ -11,6 +11,7 @@
 public:
     TimePoint now() const override;
     WallTime wallNow() const override;
+    Duration suspended() const override;
 };
 
 } // namespace Guavalock
--- a/Source/Mesh/Generated/Mesh_generated.h
+++ b/Source/Mesh/Generated/Mesh_generated.h
@@ -994,7 +994,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TOPIC = 4,
     VT_NEXT = 6,
-    VT_RECORDS = 8
+    VT_RECORDS = 8,
+    VT_AGE_US = 10
   };
   uint8_t topic() const {
     return GetField<uint8_t>(VT_TOPIC, 0);
@@ -1005,6 +1006,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<Guavalock::MeshWire::Record>> *records() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Guavalock::MeshWire::Record>> *>(VT_RECORDS);
   }
+  int64_t age_us() const {
+    return GetField<int64_t>(VT_AGE_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_TOPIC, 1) &&
@@ -1012,6 +1016,7 @@
            VerifyOffset(verifier, VT_RECORDS) &&
            verifier.VerifyVector(records()) &&
            verifier.VerifyVectorOfTables(records()) &&
+           VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
            verifier.EndTable();
   }
 };
@@ -1029,6 +1034,9 @@
   void add_records(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Guavalock::MeshWire::Record>>> records) {
     fbb_.AddOffset(Records::VT_RECORDS, records);
   }
+  void add_age_us(int64_t age_us) {
+    fbb_.AddElement<int64_t>(Records::VT_AGE_US, age_us, 0);
+  }
   explicit RecordsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1044,8 +1052,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint8_t topic = 0,
     uint64_t next = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Guavalock::MeshWire::Record>>> records = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Guavalock::MeshWire::Record>>> records = 0,
+    int64_t age_us = 0) {
   RecordsBuilder builder_(_fbb);
+  builder_.add_age_us(age_us);
   builder_.add_next(next);
   builder_.add_records(records);
   builder_.add_topic(topic);
@@ -1061,13 +1071,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint8_t topic = 0,
     uint64_t next = 0,
-    const std::vector<flatbuffers::Offset<Guavalock::MeshWire::Record>> *records = nullptr) {
+    const std::vector<flatbuffers::Offset<Guavalock::MeshWire::Record>> *records = nullptr,
+    int64_t age_us = 0) {
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<Guavalock::MeshWire::Record>>(*records) : 0;
   return Guavalock::MeshWire::CreateRecords(
       _fbb,
       topic,
       next,
-      records__);
+      records__,
+      age_us);
 }
 
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Source/Mesh/MeshCodec.cpp
+++ b/Source/Mesh/MeshCodec.cpp
@@ -171,24 +171,27 @@
     return true;
 }
 
-bool readRecords(const MeshWire::Frame &frame, Clock::TimePoint, const MeshHandlers &handlers)
+bool readRecords(const MeshWire::Frame &frame, Clock::TimePoint now, const MeshHandlers &handlers)
 {
     const MeshWire::Records &wire = *frame.body_as_Records();
     if (!validTopic(wire.topic())) {
         return false;
     }
-    std::vector<KeyedRecord> records;
+    RecordUpdate update;
+    update.topic = static_cast<Topic>(wire.topic());
+    update.next = wire.next();
+    update.confirmed = timeIn(-wire.age_us(), now);
     if (wire.records() != nullptr) {
         for (const MeshWire::Record *it : *wire.records()) {
             KeyedRecord record{text(it->key()), std::nullopt, it->offset()};
             if (it->value() != nullptr) {
                 record.value.emplace(it->value()->begin(), it->value()->end());
             }
-            records.push_back(std::move(record));
+            update.records.push_back(std::move(record));
         }
     }
     if (handlers.records) {
-        handlers.records(static_cast<Topic>(wire.topic()), wire.next(), std::move(records));
+        handlers.records(std::move(update));
     }
     return true;
 }
@@ -230,8 +233,8 @@
     std::vector<flatbuffers::Offset<MeshWire::Result>> list;
     list.reserve(results.size());
     for (const PieceResult &it : results) {
-        list.push_back(MeshWire::CreateResultDirect(builder, it.number, static_cast<std::uint8_t>(it.end), it.handle.c_str(),
-                                                    it.dataCentre.c_str()));
+        list.push_back(
+            MeshWire::CreateResultDirect(builder, it.number, static_cast<std::uint8_t>(it.end), it.handle.c_str(), it.dataCentre.c_str()));
     }
     return finish(builder, MeshWire::Body::Results, MeshWire::CreateResultsDirect(builder, &list).Union());
 }
@@ -256,12 +259,12 @@
     return finish(builder, MeshWire::Body::RecordsRequest, body.Union());
 }
 
-MeshCodec::Bytes MeshCodec::records(Topic topic, std::uint64_t next, const std::vector<KeyedRecord> &records)
+MeshCodec::Bytes MeshCodec::records(const RecordUpdate &update, Clock::TimePoint now)
 {
     Builder builder(firstBufferBytes);
     std::vector<flatbuffers::Offset<MeshWire::Record>> list;
-    list.reserve(records.size());
-    for (const KeyedRecord &it : records) {
+    list.reserve(update.records.size());
+    for (const KeyedRecord &it : update.records) {
         flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> value;
         if (it.value) {
             value = builder.CreateVector(reinterpret_cast<const std::uint8_t *>(it.value->data()), it.value->size());
@@ -269,7 +272,8 @@
         const auto key = builder.CreateString(it.key);
         list.push_back(MeshWire::CreateRecord(builder, key, value, it.offset));
     }
-    const auto body = MeshWire::CreateRecordsDirect(builder, static_cast<std::uint8_t>(topic), next, &list);
+    const auto body = MeshWire::CreateRecordsDirect(builder, static_cast<std::uint8_t>(update.topic), update.next, &list,
+                                                    microsecondsTo(now, update.confirmed));
     return finish(builder, MeshWire::Body::Records, body.Union());
 }
 
--- a/Source/Mesh/MeshCodec.h
+++ b/Source/Mesh/MeshCodec.h
@@ -22,7 +22,7 @@
     static Bytes cancel(const std::string &requestId);
     static Bytes release(const std::vector<std::string> &handles);
     static Bytes recordsRequest(Topic topic, std::uint64_t from);
-    static Bytes records(Topic topic, std::uint64_t next, const std::vector<KeyedRecord> &records);
+    static Bytes records(const RecordUpdate &update, Clock::TimePoint now);
 
     /// Decodes a frame and calls its handler. Returns false for bytes that are no valid frame.
     static bool read(const Bytes &frame, Clock::TimePoint now, const MeshHandlers &handlers);
--- a/Source/Mesh/MeshHandlers.h
+++ b/Source/Mesh/MeshHandlers.h
@@ -2,8 +2,8 @@
 
 #include "Batching/Piece.h"
 #include "Batching/PieceResult.h"
-#include "Fleet/KeyedRecord.h"
 #include "Fleet/MemberRecord.h"
+#include "Fleet/RecordUpdate.h"
 #include "Fleet/Topic.h"
 
 #include <functional>
@@ -22,7 +22,7 @@
     std::function<void(const std::string &requestId)> cancel;
     std::function<void(std::vector<std::string> handles)> release;
     std::function<void(Topic, std::uint64_t from)> recordsRequest;
-    std::function<void(Topic, std::uint64_t next, std::vector<KeyedRecord>)> records;
+    std::function<void(RecordUpdate)> records;
 };
 
 } // namespace Guavalock
--- a/Source/Mesh/MeshNetwork.cpp
+++ b/Source/Mesh/MeshNetwork.cpp
@@ -166,12 +166,20 @@
         }
         dial(member.peerAddress);
     };
-    handlers.beat = [this, vm](bool draining) { m_roster.heard(*vm, draining, m_clock.now()); };
-    handlers.pieces = [this, vm](std::vector<Piece> pieces) { m_events.pieces(*vm, std::move(pieces)); };
+    handlers.beat = [this, vm](bool draining) {
+        m_roster.heard(*vm, draining, m_clock.now());
+    };
+    handlers.pieces = [this, vm](std::vector<Piece> pieces) {
+        m_events.pieces(*vm, std::move(pieces));
+    };
     handlers.results = m_events.results;
-    handlers.cancel = [this, vm](const std::string &requestId) { m_events.cancel(*vm, requestId); };
+    handlers.cancel = [this, vm](const std::string &requestId) {
+        m_events.cancel(*vm, requestId);
+    };
     handlers.release = m_events.release;
-    handlers.recordsRequest = [this, vm](Topic topic, std::uint64_t from) { m_events.recordsRequest(*vm, topic, from); };
+    handlers.recordsRequest = [this, vm](Topic topic, std::uint64_t from) {
+        m_events.recordsRequest(*vm, topic, from);
+    };
     handlers.records = m_events.records;
     return handlers;
 }
@@ -251,17 +259,14 @@
     }
 }
 
-void MeshNetwork::sendRecords(const std::string &vm, Topic topic, std::uint64_t next, const std::vector<KeyedRecord> &records)
+bool MeshNetwork::requestRecordsFrom(const std::string &vm, Topic topic, std::uint64_t from)
 {
-    send(vm, MeshCodec::records(topic, next, records));
+    return send(vm, MeshCodec::recordsRequest(topic, from));
 }
 
-void MeshNetwork::broadcastRecords(Topic topic, std::uint64_t next, const std::vector<KeyedRecord> &records)
+void MeshNetwork::sendRecords(const std::string &vm, const RecordUpdate &update)
 {
-    const std::scoped_lock lock(m_mutex);
-    for (const auto &[vm, link] : m_links) {
-        link.channel->send(MeshCodec::records(topic, next, records));
-    }
+    send(vm, MeshCodec::records(update, m_clock.now()));
 }
 
 } // namespace Guavalock
--- a/Source/Mesh/MeshNetwork.h
+++ b/Source/Mesh/MeshNetwork.h
@@ -33,7 +33,7 @@
         std::function<void(const std::string &vm, const std::string &requestId)> cancel;
         std::function<void(std::vector<std::string> handles)> release;
         std::function<void(const std::string &vm, Topic, std::uint64_t from)> recordsRequest;
-        std::function<void(Topic, std::uint64_t next, std::vector<KeyedRecord>)> records;
+        std::function<void(RecordUpdate)> records;
     };
 
     MeshNetwork(boost::asio::any_io_executor executor, const Clock &clock, Roster &roster);
@@ -58,10 +58,10 @@
     /// Asks some of the linked daemons for records that they have and this one may lack.
     void requestRecords(Topic topic, std::uint64_t from);
 
-    void sendRecords(const std::string &vm, Topic topic, std::uint64_t next, const std::vector<KeyedRecord> &records);
+    /// Asks one daemon for records. Returns false when it is not linked.
+    bool requestRecordsFrom(const std::string &vm, Topic topic, std::uint64_t from);
 
-    /// Passes records on to every linked daemon.
-    void broadcastRecords(Topic topic, std::uint64_t next, const std::vector<KeyedRecord> &records);
+    void sendRecords(const std::string &vm, const RecordUpdate &update);
 
 private:
     struct Link {
--- a/Source/Mesh/Roster.cpp
+++ b/Source/Mesh/Roster.cpp
@@ -105,6 +105,16 @@
     return std::ranges::max_element(members, {}, [&](const MemberRecord &it) { return score(service, it); })->vm;
 }
 
+std::string Roster::owner(const std::string &matter, const std::string &dataCentre, Clock::TimePoint now) const
+{
+    std::vector<MemberRecord> members = live(now);
+    std::erase_if(members, [&](const MemberRecord &it) { return it.dataCentre != dataCentre; });
+    if (members.empty()) {
+        return m_self.vm;
+    }
+    return std::ranges::max_element(members, {}, [&](const MemberRecord &it) { return score(matter, it); })->vm;
+}
+
 bool Roster::reachable(const std::string &vm, Clock::TimePoint now) const
 {
     if (vm == m_self.vm) {
--- a/Source/Relay/RelayAttempt.cpp
+++ b/Source/Relay/RelayAttempt.cpp
@@ -94,7 +94,7 @@
     if (!open) {
         co_return false;
     }
-    co_await m_exchange.send(requestText());
+    m_exchange.send(requestText());
     co_return true;
 }
 
@@ -115,7 +115,6 @@
     }
     std::optional<AnswerHead> head = co_await m_exchange.head();
     silence.reset();
-    // A connection that broke while the request was sent may still hold an answer, so only the missing answer counts.
     if (!head) {
         co_return broken();
     }
--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -102,7 +102,9 @@
         co_await tellRefusal();
         co_return;
     }
-    const auto giveUp = [this] { m_cancellation.cancel(RefusalCause::DeadlineUnreachable); };
+    const auto giveUp = [this] {
+        m_cancellation.cancel(RefusalCause::DeadlineUnreachable);
+    };
     const DeadlineTimer timer(m_cancellation.strand(), m_deadline - answerMargin, giveUp);
     const DeadlineTimer patience(m_cancellation.strand(), firstEventLimit(), [this, giveUp] {
         if (!m_progress.begun) {
@@ -161,8 +163,8 @@
         co_return false;
     }
     m_refusal.retryAfter = comeBackLater;
-    co_await refuse(ResultCode::Overloaded, end == StageRun::End::Refused ? "the stages have too much to do already"
-                                                                         : "the stages were not made in time");
+    co_await refuse(ResultCode::Overloaded,
+                    end == StageRun::End::Refused ? "the stages have too much to do already" : "the stages were not made in time");
     co_return false;
 }
 
--- a/Source/Relay/RelaySession.cpp
+++ b/Source/Relay/RelaySession.cpp
@@ -24,7 +24,6 @@
 #include <array>
 #include <cstdio>
 
-
 namespace Guavalock
 {
 
@@ -186,13 +185,12 @@
 std::shared_ptr<RelaySession::Watch> RelaySession::watchForClose(const std::shared_ptr<Cancellation> &cancellation)
 {
     auto watch = std::make_shared<Watch>();
-    m_socket.async_wait(
-        Asio::ip::tcp::socket::wait_read,
-        Asio::bind_executor(m_socket.get_executor(), [this, watch, cancellation](const boost::system::error_code &ec) {
-            if (!ec && watch->live && callerClosed()) {
-                cancellation->cancel(RefusalCause::CallerClosed);
-            }
-        }));
+    m_socket.async_wait(Asio::ip::tcp::socket::wait_read,
+                        Asio::bind_executor(m_socket.get_executor(), [this, watch, cancellation](const boost::system::error_code &ec) {
+                            if (!ec && watch->live && callerClosed()) {
+                                cancellation->cancel(RefusalCause::CallerClosed);
+                            }
+                        }));
     return watch;
 }
 
--- a/Source/Relay/UpstreamExchange.cpp
+++ b/Source/Relay/UpstreamExchange.cpp
@@ -6,6 +6,7 @@
 #include "Targets/ConnectionTable.h"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/bind_executor.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -36,7 +37,6 @@
 Asio::awaitable<bool> UpstreamExchange::open(const Endpoint &endpoint, bool mayReuse, Clock::TimePoint until)
 {
     m_parser.reset();
-    m_sent = false;
     m_connection = mayReuse ? m_connections.takeIdle(endpoint) : nullptr;
     m_reused = m_connection != nullptr;
     if (m_reused) {
@@ -53,19 +53,20 @@
     return m_reused;
 }
 
-Asio::awaitable<bool> UpstreamExchange::send(std::string text)
+void UpstreamExchange::send(std::string text)
 {
-    const auto [ec, n] = co_await Asio::async_write(m_connection->socket(), Asio::buffer(text), Asio::as_tuple(Asio::use_awaitable));
-    m_sent = !ec;
-    co_return m_sent;
+    const auto sending = std::make_shared<Sending>(Sending{std::move(text), false});
+    m_sending = sending;
+    Asio::async_write(m_connection->socket(), Asio::buffer(sending->text),
+                      Asio::bind_executor(m_strand, [sending](const boost::system::error_code &ec, std::size_t) { sending->done = !ec; }));
 }
 
 Asio::awaitable<std::optional<AnswerHead>> UpstreamExchange::head()
 {
     m_parser.emplace();
     m_parser->body_limit(maxAnswerBytes);
-    const auto [ec, n] = co_await Http::async_read_header(m_connection->socket(), m_connection->buffer(), *m_parser,
-                                                          Asio::as_tuple(Asio::use_awaitable));
+    const auto [ec, n]
+        = co_await Http::async_read_header(m_connection->socket(), m_connection->buffer(), *m_parser, Asio::as_tuple(Asio::use_awaitable));
     if (ec) {
         co_return std::nullopt;
     }
@@ -89,7 +90,7 @@
 
 void UpstreamExchange::finish()
 {
-    const bool complete = m_sent && m_parser && m_parser->is_done() && m_parser->keep_alive();
+    const bool complete = m_sending && m_sending->done && m_parser && m_parser->is_done() && m_parser->keep_alive();
     if (!complete || m_closed || !m_connection->reusable()) {
         close();
         return;
--- a/Source/Relay/UpstreamExchange.h
+++ b/Source/Relay/UpstreamExchange.h
@@ -39,8 +39,8 @@
     /// Returns whether the connection had been used before.
     bool reused() const;
 
-    /// Sends the bytes of a request. Returns false when the connection broke; the target may have them all the same.
-    boost::asio::awaitable<bool> send(std::string text);
+    /// Begins to send the bytes of a request. A target may answer before it has read them all.
+    void send(std::string text);
 
     /// Returns the answer's head, or nothing when the connection broke or the bytes are no answer.
     boost::asio::awaitable<std::optional<AnswerHead>> head();
@@ -55,13 +55,19 @@
     void close();
 
 private:
+    /// Shared with the write, which may end after the exchange.
+    struct Sending {
+        std::string text;
+        bool done = false;
+    };
+
     ConnectionTable &m_connections;
     const RelayCodec &m_codec;
     boost::asio::any_io_executor m_strand;
     std::unique_ptr<Connection> m_connection;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
     bool m_reused = false;
-    bool m_sent = false;
+    std::shared_ptr<Sending> m_sending;
     bool m_closed = false;
 };
 
--- a/Source/Site/SiteDaemon.cpp
+++ b/Source/Site/SiteDaemon.cpp
@@ -43,6 +43,7 @@
 constexpr std::chrono::milliseconds stopInterval{50}; ///< Between looks at whether the last request has ended.
 constexpr std::chrono::milliseconds noticeTime{3'200}; ///< From the end of readiness until the balancer sends nothing more.
 constexpr std::chrono::milliseconds stopMargin{400}; ///< Before the end of the grace time.
+constexpr std::chrono::milliseconds shortestSleep{300}; ///< A suspension that may have hidden changes; clocks differ by less.
 constexpr std::chrono::seconds settleTime{3}; ///< A daemon younger than this does not know the others yet.
 
 MemberRecord withIncarnation(MemberRecord self)
@@ -67,19 +68,19 @@
     , m_mirror(std::make_unique<RecordMirror>())
     , m_roster(std::make_unique<Roster>(withIncarnation(m_settings.self)))
     , m_mesh(std::make_unique<MeshNetwork>(m_pool->executor(), m_clock, *m_roster))
-    , m_batches(std::make_unique<BatchOwner>(
-          m_pool->executor(), BatchOwner::Parts{m_clock, *m_catalogue, *m_fleet, *m_budget, m_site.stageCodec(), *m_metrics},
-          [this](const std::string &origin, std::vector<PieceResult> results) {
-              if (origin == m_roster->self().vm) {
-                  m_pieces->deliver(std::move(results));
-              } else {
-                  m_mesh->sendResults(origin, results);
-              }
-          }))
+    , m_batches(std::make_unique<BatchOwner>(m_pool->executor(),
+                                             BatchOwner::Parts{m_clock, *m_catalogue, *m_fleet, *m_budget, m_site.stageCodec(), *m_metrics},
+                                             [this](const std::string &origin, std::vector<PieceResult> results) {
+                                                 if (origin == m_roster->self().vm) {
+                                                     m_pieces->deliver(std::move(results));
+                                                 } else {
+                                                     m_mesh->sendResults(origin, results);
+                                                 }
+                                             }))
     , m_pieces(std::make_unique<PieceRouter>(m_clock, *m_roster, *m_mesh, *m_batches))
     , m_times(std::make_unique<StageTimes>())
-    , m_parts(new RelayParts{m_clock, *m_catalogue, *m_fleet, *m_connections, *m_budget, *m_pieces, *m_times, m_site.relayCodec(),
-                             *m_metrics})
+    , m_parts(
+          new RelayParts{m_clock, *m_catalogue, *m_fleet, *m_connections, *m_budget, *m_pieces, *m_times, m_site.relayCodec(), *m_metrics})
     , m_callers(std::make_unique<RelayFrontEnd>(*m_parts, m_pool->executor(), m_settings.callers))
     , m_readiness(std::make_unique<StatusServer>(m_pool->executor(), m_settings.readiness, [this](const std::string &path) {
         if (path != m_site.relayCodec().readinessPath()) {
@@ -105,24 +106,33 @@
     return !m_draining && m_follower->ready();
 }
 
-void SiteDaemon::answerRecords(const std::string &vm, Topic topic, std::uint64_t from)
+std::string SiteDaemon::readerFor(Topic topic) const
 {
-    const RecordMirror::Progress progress = m_mirror->progress(topic);
-    if (progress.next > from) {
-        m_mesh->sendRecords(vm, topic, progress.next, m_mirror->since(topic, from));
-    }
+    const MemberRecord &self = m_roster->self();
+    const std::string reader = m_roster->owner(topicName(topic), self.dataCentre, m_clock.now());
+    return reader == self.vm ? std::string() : reader;
 }
 
 MeshNetwork::Events SiteDaemon::meshEvents()
 {
     MeshNetwork::Events events;
-    events.pieces = [this](const std::string &vm, std::vector<Piece> pieces) { m_batches->submit(vm, std::move(pieces)); };
-    events.results = [this](std::vector<PieceResult> results) { m_pieces->deliver(std::move(results)); };
-    events.cancel = [this](const std::string &vm, const std::string &requestId) { m_batches->cancel(vm, requestId); };
-    events.release = [this](std::vector<std::string> handles) { m_batches->release(std::move(handles)); };
-    events.recordsRequest = [this](const std::string &vm, Topic topic, std::uint64_t from) { answerRecords(vm, topic, from); };
-    events.records = [this](Topic topic, std::uint64_t next, const std::vector<KeyedRecord> &records) {
-        m_follower->takeFromPeer(topic, next, records);
+    events.pieces = [this](const std::string &vm, std::vector<Piece> pieces) {
+        m_batches->submit(vm, std::move(pieces));
+    };
+    events.results = [this](std::vector<PieceResult> results) {
+        m_pieces->deliver(std::move(results));
+    };
+    events.cancel = [this](const std::string &vm, const std::string &requestId) {
+        m_batches->cancel(vm, requestId);
+    };
+    events.release = [this](std::vector<std::string> handles) {
+        m_batches->release(std::move(handles));
+    };
+    events.recordsRequest = [this](const std::string &vm, Topic topic, std::uint64_t from) {
+        m_mesh->sendRecords(vm, m_mirror->since(topic, from));
+    };
+    events.records = [this](const RecordUpdate &update) {
+        m_follower->takeFromPeer(update);
     };
     return events;
 }
@@ -130,16 +140,24 @@
 void SiteDaemon::startFollower()
 {
     FleetFollower::Events events;
-    events.askPeers = [this](Topic topic, std::uint64_t from) { m_mesh->requestRecords(topic, from); };
-    events.tellPeers = [this](Topic topic, std::uint64_t next, const std::vector<KeyedRecord> &records) {
-        m_mesh->broadcastRecords(topic, next, records);
+    events.askPeers = [this](Topic topic, std::uint64_t from) {
+        m_mesh->requestRecords(topic, from);
+    };
+    events.reader = [this](Topic topic) {
+        return readerFor(topic);
+    };
+    events.askReader = [this](const std::string &vm, Topic topic, std::uint64_t from) {
+        return m_mesh->requestRecordsFrom(vm, topic, from);
+    };
+    events.member = [this](const MemberRecord &member) {
+        m_mesh->dial(member.peerAddress);
+    };
+    events.memberLeft = [this](const std::string &vm) {
+        m_roster->forget(vm);
     };
-    events.member = [this](const MemberRecord &member) { m_mesh->dial(member.peerAddress); };
-    events.memberLeft = [this](const std::string &vm) { m_roster->forget(vm); };
     m_follower = std::make_unique<FleetFollower>(
-        m_pool->executor(),
-        FleetFollower::Parts{m_clock, *m_mirror, *m_catalogue, *m_fleet, m_site.recordCodec(), *m_metrics}, std::move(events),
-        [this](Asio::any_io_executor strand) { return m_site.store(std::move(strand), m_settings.store); });
+        m_pool->executor(), FleetFollower::Parts{m_clock, *m_mirror, *m_catalogue, *m_fleet, m_site.recordCodec(), *m_metrics},
+        std::move(events), [this](Asio::any_io_executor strand) { return m_site.store(std::move(strand), m_settings.store); });
 }
 
 void SiteDaemon::start()
@@ -165,7 +183,9 @@
 {
     const Clock::TimePoint settled = m_clock.now() + settleTime;
     Asio::steady_timer timer(m_pool->executor());
+    m_slept = m_clock.suspended();
     while (!m_draining) {
+        noticeSleep();
         const Clock::TimePoint now = m_clock.now();
         std::vector<std::string> names;
         for (const MemberRecord &it : m_roster->live(now)) {
@@ -178,6 +198,27 @@
     }
 }
 
+void SiteDaemon::noticeSleep()
+{
+    const Clock::Duration slept = m_clock.suspended();
+    if (slept - m_slept > shortestSleep) {
+        m_fleet->doubtAll(m_clock.now());
+        const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(slept - m_slept);
+        Log::warning("daemon", "was-suspended", {{"ms", std::to_string(milliseconds.count())}});
+    }
+    m_slept = slept;
+}
+
+void SiteDaemon::reload(const SiteSettings &settings)
+{
+    for (const Endpoint &it : settings.seeds) {
+        m_mesh->dial(it);
+    }
+    m_budget->setTerms(settings.repeats);
+    m_settings.graceTime = settings.graceTime;
+    Log::state("daemon", "reloaded", {{"seeds", std::to_string(settings.seeds.size())}});
+}
+
 bool SiteDaemon::stop()
 {
     const Clock::TimePoint begin = m_clock.now();
--- a/Source/Site/SiteDaemon.h
+++ b/Source/Site/SiteDaemon.h
@@ -32,6 +32,9 @@
     /// Starts to serve. Throws boost::system::system_error when an address cannot be had.
     void start();
 
+    /// Takes over what may change while the daemon runs: seeds, the budget of repeats and the grace time. Addresses stay.
+    void reload(const SiteSettings &settings);
+
     /// Carries out a planned stop and returns when it is over. Returns false when requests were still in progress at its end.
     ///
     /// Readiness ends first; requests are still taken until the balancer has moved on, and those in progress finish, for at most
@@ -41,8 +44,9 @@
 private:
     MeshNetwork::Events meshEvents();
     void startFollower();
-    void answerRecords(const std::string &vm, Topic topic, std::uint64_t from);
     boost::asio::awaitable<void> watchMembers();
+    void noticeSleep();
+    std::string readerFor(Topic topic) const;
     bool ready() const;
 
     const Site &m_site;
@@ -65,6 +69,7 @@
     std::unique_ptr<RelayFrontEnd> m_callers;
     std::unique_ptr<StatusServer> m_readiness;
     std::unique_ptr<StatusServer> m_metricsServer;
+    Clock::Duration m_slept{}; ///< How long the machine has been suspended since it started.
     std::atomic<bool> m_draining{false};
 };
 
--- /dev/null
+++ b/Tests/Batching/BatchingTest.cpp
@@ -0,0 +1,263 @@
+#include "Batching/BatchQueue.h"
+#include "Batching/BatchWorker.h"
+#include "Batching/ResultRoom.h"
+#include "Batching/StagePlan.h"
+#include "Batching/StageTimes.h"
+#include "Fleet/BatchTerms.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Guavalock
+{
+
+class BatchingTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(BatchingTest);
+    CPPUNIT_TEST(stagesFollowTheirGraph);
+    CPPUNIT_TEST(stagesWithoutPiecesAreLeftOut);
+    CPPUNIT_TEST(resultsAreFreedOnceEveryTakerHasReadThem);
+    CPPUNIT_TEST(lostInputsAreMadeAgain);
+    CPPUNIT_TEST(sideStagesStartInTimeForTheEndOfTheLongestChain);
+    CPPUNIT_TEST(urgentPiecesThatCanStillMakeItGoFirst);
+    CPPUNIT_TEST(batchesStayWithinLimitAndRoom);
+    CPPUNIT_TEST(piecesWaitForATargetNearTheirInputsWhileTheyCan);
+    CPPUNIT_TEST(cancelledAndLatePiecesAreNotSent);
+    CPPUNIT_TEST(roomComesBackWhenFreedOrExpired);
+    CPPUNIT_TEST(foreignResultsTakeRoom);
+    CPPUNIT_TEST(slowTargetsAreTriedAgainLater);
+    CPPUNIT_TEST(timesOfAQuietServiceReturnToUsual);
+    CPPUNIT_TEST_SUITE_END();
+
+    using Milliseconds = std::chrono::milliseconds;
+
+    static constexpr std::chrono::milliseconds stage{280};
+
+    Clock::TimePoint m_now{std::chrono::seconds(100)};
+
+    static Clock::Duration usual(const std::string &)
+    {
+        return stage;
+    }
+
+    static std::vector<StageNode> chain()
+    {
+        return {{"ledger", {}, 8'000}, {"yard", {0}, 60'000}, {"portal", {1}, 6'000}};
+    }
+
+    static BatchTerms terms()
+    {
+        BatchTerms terms;
+        terms.batchLimit = 4;
+        terms.callTime = Milliseconds(200);
+        terms.pieceTime = Milliseconds(10);
+        terms.roomBytes = 1'000;
+        return terms;
+    }
+
+    BatchQueue::Entry entry(const std::string &request, Milliseconds wantedIn, unsigned rank = 1) const
+    {
+        Piece piece;
+        piece.requestId = request;
+        piece.rank = rank;
+        piece.resultBytes = 10;
+        piece.wantedBy = m_now + wantedIn;
+        piece.deadline = m_now + wantedIn + Milliseconds(1'000);
+        return {piece, "vm", m_now, 0};
+    }
+
+    static std::string requests(const std::vector<BatchQueue::Entry> &entries)
+    {
+        std::string text;
+        for (const BatchQueue::Entry &it : entries) {
+            text += it.piece.requestId;
+        }
+        return text;
+    }
+
+    /// Has the pieces of a stage made, each with a handle of its own.
+    static void makeAll(StagePlan &plan, const std::vector<Piece> &pieces)
+    {
+        for (const Piece &it : pieces) {
+            plan.made(it.stage, it.fragment, "h" + std::to_string(it.stage) + "." + std::to_string(it.fragment), "north");
+        }
+    }
+
+public:
+    void stagesFollowTheirGraph()
+    {
+        StagePlan plan(chain(), {1, 2, 3}, "r", "key");
+        auto pieces = plan.takeReady(usual);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), pieces.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("key"), pieces[0].key);
+        CPPUNIT_ASSERT(plan.takeReady(usual).empty());
+        makeAll(plan, pieces);
+        pieces = plan.takeReady(usual);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), pieces.size());
+        CPPUNIT_ASSERT(pieces[0].key.empty());
+        CPPUNIT_ASSERT_EQUAL(std::string("h0.0"), pieces[0].inputs.at(0));
+        makeAll(plan, pieces);
+        pieces = plan.takeReady(usual);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), pieces.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), pieces[2].inputs.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("north"), pieces[0].nearDataCentre);
+        makeAll(plan, pieces);
+        CPPUNIT_ASSERT(plan.complete());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), plan.finalHandles().size());
+    }
+
+    void stagesWithoutPiecesAreLeftOut()
+    {
+        StagePlan plan({{"ledger", {}, 1}, {"yard", {}, 1}}, {0, 1}, "r", "key");
+        const auto pieces = plan.takeReady(usual);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), pieces.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), pieces[0].stage);
+        makeAll(plan, pieces);
+        CPPUNIT_ASSERT(plan.complete());
+        CPPUNIT_ASSERT(StagePlan(chain(), {0, 0, 0}, "r", "key").complete());
+    }
+
+    void resultsAreFreedOnceEveryTakerHasReadThem()
+    {
+        StagePlan plan(chain(), {1, 2, 1}, "r", "key");
+        makeAll(plan, plan.takeReady(usual));
+        const auto yard = plan.takeReady(usual);
+        plan.taken(1, 0);
+        CPPUNIT_ASSERT(plan.takeUsed().empty());
+        plan.taken(1, 1);
+        const auto used = plan.takeUsed();
+        CPPUNIT_ASSERT_EQUAL(std::string("h0.0"), used.at("ledger").at(0));
+        CPPUNIT_ASSERT(plan.takeUsed().empty());
+        makeAll(plan, yard);
+        makeAll(plan, plan.takeReady(usual));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), plan.takeUsed().at("yard").size());
+        // The final results are the model engine's to read.
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), plan.allHandles().size());
+    }
+
+    void lostInputsAreMadeAgain()
+    {
+        StagePlan plan(chain(), {1, 2, 1}, "r", "key");
+        makeAll(plan, plan.takeReady(usual));
+        plan.takeReady(usual);
+        const auto dropped = plan.inputsGone(1, 0);
+        CPPUNIT_ASSERT_EQUAL(std::string("h0.0"), dropped.at("ledger").at(0));
+        const auto again = plan.takeReady(usual);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), again.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), again[0].stage);
+        // The other piece of the stage still waits for its own result.
+        makeAll(plan, again);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), plan.takeReady(usual).size());
+    }
+
+    void sideStagesStartInTimeForTheEndOfTheLongestChain()
+    {
+        std::vector<StageNode> stages = chain();
+        stages.push_back({"ledger", {}, 1'500'000});
+        StagePlan plan(stages, {1, 1, 1, 2}, "r", "key");
+        const auto first = plan.takeReady(usual);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), first.size());
+        makeAll(plan, first);
+        // The yard's piece is asked for, and the side stage fits beside what follows it.
+        auto second = plan.takeReady(usual);
+        const auto rest = plan.takeReady(usual);
+        second.insert(second.end(), rest.begin(), rest.end());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), second.size());
+    }
+
+    void urgentPiecesThatCanStillMakeItGoFirst()
+    {
+        BatchQueue queue;
+        queue.add(entry("lost ", Milliseconds(100), 0));
+        queue.add(entry("later ", Milliseconds(900)));
+        queue.add(entry("sooner ", Milliseconds(500)));
+        queue.add(entry("ranked ", Milliseconds(900), 0));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), queue.ahead(entry("", Milliseconds(400)).piece, terms(), m_now));
+        CPPUNIT_ASSERT_EQUAL(std::string("ranked sooner later lost "), requests(queue.take(terms(), 1'000, "north", m_now)));
+    }
+
+    void batchesStayWithinLimitAndRoom()
+    {
+        BatchQueue queue;
+        for (int it = 0; it < 6; ++it) {
+            queue.add(entry("r", Milliseconds(500)));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), queue.take(terms(), 25, "north", m_now).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), queue.take(terms(), 1'000, "north", m_now).size());
+        CPPUNIT_ASSERT(queue.empty());
+    }
+
+    void piecesWaitForATargetNearTheirInputsWhileTheyCan()
+    {
+        BatchQueue queue;
+        BatchQueue::Entry far = entry("r", Milliseconds(900));
+        far.piece.nearDataCentre = "south";
+        far.piece.nearBytes = 1'000'000;
+        queue.add(far);
+        CPPUNIT_ASSERT(queue.take(terms(), 1'000, "north", m_now).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), queue.take(terms(), 1'000, "north", m_now + Milliseconds(200)).size());
+        far.piece.wantedBy = m_now + Milliseconds(300);
+        queue.add(far);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), queue.take(terms(), 1'000, "north", m_now).size());
+    }
+
+    void cancelledAndLatePiecesAreNotSent()
+    {
+        BatchQueue queue;
+        queue.add(entry("a", Milliseconds(500)));
+        queue.add(entry("b", Milliseconds(500)));
+        queue.cancel("other", "a");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), queue.size());
+        queue.cancel("vm", "a");
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), requests(queue.takeLate(m_now + Milliseconds(1'500))));
+        CPPUNIT_ASSERT(queue.empty());
+    }
+
+    void roomComesBackWhenFreedOrExpired()
+    {
+        ResultRoom room;
+        room.add("h1", 400, m_now + Milliseconds(100));
+        room.add("h2", 300, m_now + Milliseconds(900));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(300), room.left(1'000, m_now));
+        room.free("h2");
+        room.free("unknown");
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(600), room.left(1'000, m_now));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1'000), room.left(1'000, m_now + Milliseconds(200)));
+    }
+
+    void foreignResultsTakeRoom()
+    {
+        ResultRoom room;
+        room.add("h1", 400, m_now + std::chrono::seconds(4));
+        room.full(1'000, m_now, m_now + Milliseconds(800));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), room.left(1'000, m_now));
+        room.free("h1");
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(400), room.left(1'000, m_now));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1'000), room.left(1'000, m_now + Milliseconds(801)));
+    }
+
+    void slowTargetsAreTriedAgainLater()
+    {
+        BatchWorker worker({"t1", {"127.0.0.1", 1}, "north", "yard"});
+        for (int it = 0; it < 4; ++it) {
+            worker.callEnded(Milliseconds(1'500), Milliseconds(300), m_now);
+        }
+        CPPUNIT_ASSERT(worker.slowness(m_now) > 4);
+        CPPUNIT_ASSERT(!worker.steady(m_now));
+        CPPUNIT_ASSERT(worker.slowness(m_now + std::chrono::seconds(10)) < 1.5);
+    }
+
+    void timesOfAQuietServiceReturnToUsual()
+    {
+        StageTimes times;
+        CPPUNIT_ASSERT(times.expected("yard", stage, m_now) == stage);
+        times.observe("yard", Milliseconds(1'280), m_now);
+        CPPUNIT_ASSERT(times.expected("yard", stage, m_now) == Milliseconds(1'280));
+        CPPUNIT_ASSERT(times.expected("yard", stage, m_now + std::chrono::seconds(5)) < Milliseconds(300));
+        times.observe("portal", Milliseconds(100), m_now);
+        CPPUNIT_ASSERT(times.expected("portal", stage, m_now) == stage);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BatchingTest);
+
+} // namespace Guavalock
--- /dev/null
+++ b/Tests/Fleet/FleetTest.cpp
@@ -0,0 +1,270 @@
+#include "Fleet/Catalogue.h"
+#include "Fleet/ColdSenders.h"
+#include "Fleet/FleetTable.h"
+#include "Fleet/RecordMirror.h"
+#include "Fleet/RepeatBudget.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Guavalock
+{
+
+class FleetTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FleetTest);
+    CPPUNIT_TEST(longestPrefixOfTheHostWins);
+    CPPUNIT_TEST(olderRecordsNeverReplaceNewerOnes);
+    CPPUNIT_TEST(keysMissingFromTheNewestRecordsAreDropped);
+    CPPUNIT_TEST(recordsOfAPeerKeepTheirAge);
+    CPPUNIT_TEST(coldSharesAddUpToTheRate);
+    CPPUNIT_TEST(disjointViewsStayWithinTheColdBound);
+    CPPUNIT_TEST(unknownMembersSendNothingToColdTargets);
+    CPPUNIT_TEST(drainingAndEvacuatedTargetsAreNotChosen);
+    CPPUNIT_TEST(targetsOfAReturnedDataCentreCountAsCold);
+    CPPUNIT_TEST(brokenTargetsArePassedOver);
+    CPPUNIT_TEST(targetsThatFailPartOfTheirRequestsGetFewer);
+    CPPUNIT_TEST(requestsThatShareAPromptGoToOneTarget);
+    CPPUNIT_TEST(warmRecordsDoNotEndDoubtEarly);
+    CPPUNIT_TEST(repeatsOfAllDaemonsStayWithinTheBudget);
+    CPPUNIT_TEST_SUITE_END();
+
+    using Milliseconds = std::chrono::milliseconds;
+
+    Clock::TimePoint m_now{std::chrono::seconds(100)};
+
+    static TargetRecord target(const std::string &id, const std::string &dataCentre = "north", const std::string &service = "model")
+    {
+        TargetRecord record;
+        record.id = id;
+        record.service = service;
+        record.address = {"127.0.0.1", static_cast<std::uint16_t>(1000 + id.back())};
+        record.dataCentre = dataCentre;
+        return record;
+    }
+
+    static ServiceRecord service()
+    {
+        ServiceRecord record;
+        record.name = "model";
+        record.coldTime = Milliseconds(3'000);
+        record.coldRate = 11;
+        return record;
+    }
+
+    static TargetDemand demand(std::uint64_t affinity = 0)
+    {
+        TargetDemand demand;
+        demand.service = "model";
+        demand.affinity = affinity;
+        return demand;
+    }
+
+    std::optional<TargetPick> choose(FleetTable &fleet, const TargetDemand &demand)
+    {
+        Reason reason;
+        return fleet.choose(demand, service(), m_now, reason);
+    }
+
+public:
+    void longestPrefixOfTheHostWins()
+    {
+        Catalogue::Content content;
+        for (const std::string prefix : {"/", "/a/", "/a/b/"}) {
+            RouteRecord route;
+            route.host = "h";
+            route.prefix = prefix;
+            content.routes.push_back(route);
+        }
+        const Catalogue catalogue(content);
+        CPPUNIT_ASSERT_EQUAL(std::string("/a/b/"), catalogue.route("h", "/a/b/c")->prefix);
+        CPPUNIT_ASSERT_EQUAL(std::string("/a/"), catalogue.route("h", "/a/bc")->prefix);
+        CPPUNIT_ASSERT(catalogue.route("other", "/a/") == nullptr);
+    }
+
+    void olderRecordsNeverReplaceNewerOnes()
+    {
+        RecordMirror mirror;
+        mirror.apply({Topic::Operator, {{"config", "new", 9}}, 10, m_now});
+        CPPUNIT_ASSERT(mirror.apply({Topic::Operator, {{"config", "old", 4}}, 5, m_now}).empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(10), mirror.progress(Topic::Operator).next);
+        CPPUNIT_ASSERT_EQUAL(std::string("new"), *mirror.since(Topic::Operator, 0).records.front().value);
+    }
+
+    void keysMissingFromTheNewestRecordsAreDropped()
+    {
+        RecordMirror mirror;
+        mirror.apply({Topic::Targets, {{"a", "1", 3}, {"b", "1", 8}}, 9, m_now});
+        const auto changes = mirror.replace({Topic::Targets, {{"c", "1", 5}}, 7, m_now});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), changes.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), changes.back().key);
+        CPPUNIT_ASSERT(!changes.back().value);
+        // What was written after the page was read is not missing from it.
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), mirror.since(Topic::Targets, 8).records.size());
+    }
+
+    void recordsOfAPeerKeepTheirAge()
+    {
+        RecordMirror mirror;
+        mirror.apply({Topic::Targets, {}, 4, m_now - Milliseconds(900)});
+        CPPUNIT_ASSERT(mirror.progress(Topic::Targets).confirmed == m_now - Milliseconds(900));
+        mirror.apply({Topic::Targets, {}, 4, m_now - Milliseconds(2'000)});
+        CPPUNIT_ASSERT(mirror.progress(Topic::Targets).confirmed == m_now - Milliseconds(900));
+    }
+
+    void coldSharesAddUpToTheRate()
+    {
+        for (std::size_t n = 1; n <= 74; ++n) {
+            std::vector<std::string> members;
+            for (std::size_t it = 0; it < n; ++it) {
+                members.push_back("vm-" + std::to_string(it));
+            }
+            std::size_t sum = 0;
+            for (const std::string &it : members) {
+                sum += ColdSenders::share("target", 11, it, members);
+            }
+            CPPUNIT_ASSERT(sum <= 11 && sum >= 8);
+        }
+    }
+
+    void disjointViewsStayWithinTheColdBound()
+    {
+        constexpr double overage = 1.5;
+        constexpr double tolerance = 5;
+        const std::vector<std::string> one{"a", "b", "c"};
+        const std::vector<std::string> other{"d", "e", "f"};
+        for (const double rate : {4.0, 9.6, 11.0}) {
+            std::size_t sum = 0;
+            for (const std::string &it : one) {
+                sum += ColdSenders::share("t", rate, it, one);
+            }
+            for (const std::string &it : other) {
+                sum += ColdSenders::share("t", rate, it, other);
+            }
+            CPPUNIT_ASSERT(static_cast<double>(sum) <= rate * overage + tolerance);
+        }
+    }
+
+    void unknownMembersSendNothingToColdTargets()
+    {
+        FleetTable fleet("vm");
+        TargetRecord cold = target("t1");
+        cold.coldRemaining = Milliseconds(3'000);
+        fleet.renew(cold, 1, m_now);
+        CPPUNIT_ASSERT(!choose(fleet, demand()));
+        fleet.setColdSenders({"vm"});
+        std::size_t sent = 0;
+        while (choose(fleet, demand())) {
+            ++sent;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(11), sent);
+        m_now += Milliseconds(1'001);
+        CPPUNIT_ASSERT(choose(fleet, demand()));
+        m_now += Milliseconds(3'000);
+        fleet.setColdSenders({});
+        CPPUNIT_ASSERT(choose(fleet, demand()));
+    }
+
+    void drainingAndEvacuatedTargetsAreNotChosen()
+    {
+        FleetTable fleet("vm");
+        fleet.renew(target("t1"), 1, m_now);
+        fleet.renew(target("t2", "south"), 2, m_now);
+        fleet.setEvacuated("south", true, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::string("t1"), choose(fleet, demand())->id);
+        TargetRecord draining = target("t1");
+        draining.draining = true;
+        CPPUNIT_ASSERT(fleet.renew(draining, 3, m_now));
+        CPPUNIT_ASSERT(!choose(fleet, demand()));
+        CPPUNIT_ASSERT(!fleet.renew(target("t1"), 2, m_now));
+        CPPUNIT_ASSERT(!choose(fleet, demand()));
+    }
+
+    void targetsOfAReturnedDataCentreCountAsCold()
+    {
+        FleetTable fleet("vm");
+        fleet.renew(target("t1", "south"), 1, m_now);
+        fleet.setEvacuated("south", true, m_now);
+        fleet.setEvacuated("south", false, m_now);
+        CPPUNIT_ASSERT(!choose(fleet, demand()));
+    }
+
+    void brokenTargetsArePassedOver()
+    {
+        FleetTable fleet("vm");
+        fleet.setColdSenders({"vm"});
+        fleet.renew(target("t1"), 1, m_now);
+        fleet.renew(target("t2"), 2, m_now);
+        fleet.ended("t1", {TargetReport::End::Broken, {}, std::nullopt}, Milliseconds(0), m_now);
+        for (int it = 0; it < 10; ++it) {
+            CPPUNIT_ASSERT_EQUAL(std::string("t2"), choose(fleet, demand(7))->id);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.usable("model", m_now).size());
+    }
+
+    void targetsThatFailPartOfTheirRequestsGetFewer()
+    {
+        FleetTable fleet("vm");
+        fleet.renew(target("t1"), 1, m_now);
+        fleet.renew(target("t2"), 2, m_now);
+        std::map<std::string, int> sent;
+        for (int it = 0; it < 200; ++it) {
+            const auto pick = choose(fleet, demand());
+            ++sent[pick->id];
+            const bool fails = pick->id == "t1" && it % 2 == 0;
+            const auto end = fails ? TargetReport::End::Failed : TargetReport::End::Answered;
+            fleet.ended(pick->id, {end, Milliseconds(30), std::nullopt}, Milliseconds(0), m_now);
+        }
+        CPPUNIT_ASSERT(sent["t1"] * 3 < sent["t2"]);
+    }
+
+    void requestsThatShareAPromptGoToOneTarget()
+    {
+        FleetTable here("vm-1");
+        FleetTable there("vm-2");
+        for (const std::string id : {"t1", "t2", "t3", "t4"}) {
+            here.renew(target(id), 1, m_now);
+            there.renew(target(id), 1, m_now);
+        }
+        std::set<std::string> used;
+        for (std::uint64_t it = 1; it < 40; ++it) {
+            const auto pick = choose(here, demand(it));
+            CPPUNIT_ASSERT_EQUAL(pick->id, choose(there, demand(it))->id);
+            here.ended(pick->id, {TargetReport::End::Answered, {}, std::nullopt}, Milliseconds(0), m_now);
+            there.ended(pick->id, {TargetReport::End::Answered, {}, std::nullopt}, Milliseconds(0), m_now);
+            used.insert(pick->id);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), used.size());
+    }
+
+    void warmRecordsDoNotEndDoubtEarly()
+    {
+        FleetTable fleet("vm");
+        fleet.renew(target("t1"), 1, m_now);
+        fleet.doubtAll(m_now);
+        fleet.renew(target("t1"), 2, m_now);
+        CPPUNIT_ASSERT(!choose(fleet, demand()));
+    }
+
+    void repeatsOfAllDaemonsStayWithinTheBudget()
+    {
+        constexpr std::size_t members = 6;
+        const RepeatBudget::Terms terms{0.2, 52, std::chrono::seconds(10)};
+        std::size_t repeats = 0;
+        for (std::size_t vm = 0; vm < members; ++vm) {
+            RepeatBudget budget(terms);
+            budget.setMembers(members);
+            for (int it = 0; it < 50; ++it) {
+                budget.request("model", m_now);
+            }
+            while (budget.take("model", m_now)) {
+                ++repeats;
+            }
+        }
+        CPPUNIT_ASSERT(repeats <= 0.2 * 300 + 52);
+        CPPUNIT_ASSERT(repeats >= 0.2 * 300);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetTest);
+
+} // namespace Guavalock
--- /dev/null
+++ b/Tests/Relay/RelayCodecTest.cpp
@@ -0,0 +1,233 @@
+#include "Fleet/Catalogue.h"
+#include "Kernel/Refusal.h"
+#include "PlatformRecordCodec.h"
+#include "PlatformRelayCodec.h"
+#include "PlatformStageCodec.h"
+#include "Relay/EventSplitter.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+namespace Guavalock
+{
+
+/// The platform's codecs, and the cutting of event streams.
+class RelayCodecTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RelayCodecTest);
+    CPPUNIT_TEST(systemHeadersOfCallersAreDropped);
+    CPPUNIT_TEST(headersOfTheConnectionAreDroppedButNotTheProtectedOnes);
+    CPPUNIT_TEST(requestsNeedAnIdAndAHost);
+    CPPUNIT_TEST(answersStateWhetherTheyRan);
+    CPPUNIT_TEST(refusalsKeepTheirPromise);
+    CPPUNIT_TEST(sharedPromptPartsAreAllButTheLast);
+    CPPUNIT_TEST(batchAnswersFollowThePieces);
+    CPPUNIT_TEST(foreignTargetRecordsNameNoTarget);
+    CPPUNIT_TEST(configurationIsRead);
+    CPPUNIT_TEST(eventsAreCutWhole);
+    CPPUNIT_TEST_SUITE_END();
+
+    RelayCodec::RequestHead head() const
+    {
+        RelayCodec::RequestHead head;
+        head.method(boost::beast::http::verb::post);
+        head.target("/a/b?c=d");
+        head.set("Host", "Shop.example:80");
+        head.set("X-Guavalock-Attempt-Id", "id1");
+        return head;
+    }
+
+    OpaqueRequest request(const RelayCodec::RequestHead &head) const
+    {
+        Reason reason;
+        std::optional<OpaqueRequest> it = PlatformRelayCodec().request(head, reason);
+        CPPUNIT_ASSERT_MESSAGE(reason.text, it);
+        return *it;
+    }
+
+    static std::string value(const HttpFields &fields, const std::string &name)
+    {
+        const auto it = std::ranges::find(fields, name, &HttpFields::value_type::first);
+        return it == fields.end() ? std::string() : it->second;
+    }
+
+    static std::size_t count(const HttpFields &fields, const std::string &name)
+    {
+        return static_cast<std::size_t>(std::ranges::count(fields, name, &HttpFields::value_type::first));
+    }
+
+public:
+    void systemHeadersOfCallersAreDropped()
+    {
+        RelayCodec::RequestHead head = this->head();
+        head.set("Api-Key", "secret");
+        head.set("X-Guavalock-Tenant-Id", "somebody");
+        head.set("x-guavalock-kv-hold", "1");
+        head.set("Kv-From", "10.0.0.1:80/x");
+        head.set("X-Guavalock-Expect-Instance", "other");
+        head.set("X-Guavalock-Deadline-Ms", "900");
+        head.set("Accept", "text/event-stream");
+        const OpaqueRequest it = request(head);
+        CPPUNIT_ASSERT_EQUAL(std::string("secret"), it.key);
+        CPPUNIT_ASSERT_EQUAL(std::string("shop.example"), it.host);
+        CPPUNIT_ASSERT(it.deadline == std::chrono::milliseconds(900));
+        SendTerms terms;
+        terms.targetId = "t1";
+        terms.organisation = "mill";
+        terms.timeLeft = std::chrono::milliseconds(450);
+        const HttpFields sent = PlatformRelayCodec().headers(it, terms);
+        CPPUNIT_ASSERT_EQUAL(std::string("mill"), value(sent, "X-Guavalock-Tenant-Id"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), count(sent, "X-Guavalock-Tenant-Id"));
+        CPPUNIT_ASSERT_EQUAL(std::string("t1"), value(sent, "X-Guavalock-Expect-Instance"));
+        CPPUNIT_ASSERT_EQUAL(std::string("450"), value(sent, "X-Guavalock-Deadline-Ms"));
+        CPPUNIT_ASSERT_EQUAL(std::string("id1"), value(sent, "X-Guavalock-Attempt-Id"));
+        CPPUNIT_ASSERT_EQUAL(std::string("text/event-stream"), value(sent, "Accept"));
+        for (const std::string name : {"Api-Key", "x-guavalock-kv-hold", "Kv-From"}) {
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), count(sent, name));
+        }
+    }
+
+    void headersOfTheConnectionAreDroppedButNotTheProtectedOnes()
+    {
+        RelayCodec::RequestHead head = this->head();
+        head.set("Connection", "keep-alive, X-Trace, X-Guavalock-Model-Id");
+        head.set("X-Trace", "1");
+        head.set("X-Guavalock-Model-Id", "m");
+        head.set("Keep-Alive", "timeout=4");
+        head.set("Transfer-Encoding", "chunked");
+        const OpaqueRequest it = request(head);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), it.headers.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("m"), value(it.headers, "X-Guavalock-Model-Id"));
+    }
+
+    void requestsNeedAnIdAndAHost()
+    {
+        Reason reason;
+        RelayCodec::RequestHead head = this->head();
+        head.erase("X-Guavalock-Attempt-Id");
+        CPPUNIT_ASSERT(!PlatformRelayCodec().request(head, reason));
+        CPPUNIT_ASSERT(reason.code == ResultCode::MalformedRequest);
+        head = this->head();
+        head.target("*");
+        CPPUNIT_ASSERT(!PlatformRelayCodec().request(head, reason));
+    }
+
+    void answersStateWhetherTheyRan()
+    {
+        RelayCodec::ResponseHead head;
+        head.result(503);
+        CPPUNIT_ASSERT(!PlatformRelayCodec().answer(head).notRun);
+        head.set("X-Guavalock-Not-Executed", "1");
+        CPPUNIT_ASSERT(PlatformRelayCodec().answer(head).notRun);
+        CPPUNIT_ASSERT(!PlatformRelayCodec().answer(head).inputsGone);
+        head.result(409);
+        CPPUNIT_ASSERT(PlatformRelayCodec().answer(head).inputsGone);
+        RelayCodec::ResponseHead moved;
+        moved.result(421);
+        CPPUNIT_ASSERT(PlatformRelayCodec().answer(moved).notRun && PlatformRelayCodec().answer(moved).wrongTarget);
+        RelayCodec::ResponseHead load;
+        load.set("X-Guavalock-Instance-Load", "3, 1,8");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), PlatformRelayCodec().answer(load).load->waiting);
+        load.set("X-Guavalock-Instance-Load", "3,x,8");
+        CPPUNIT_ASSERT(!PlatformRelayCodec().answer(load).load);
+    }
+
+    void refusalsKeepTheirPromise()
+    {
+        const PlatformRelayCodec codec;
+        for (const ResultCodeInfo &it : resultCodes()) {
+            const unsigned status = codec.status(Refusal::of(it.code, RunState::Unknown, ""));
+            const bool promisesNotRun = status == 408 || status == 421 || status == 429 || status == 503;
+            const bool family = resultNumber(it.code) / 100 == 4;
+            CPPUNIT_ASSERT(!(promisesNotRun && family));
+        }
+        CPPUNIT_ASSERT_EQUAL(401U, codec.status(Refusal::of(ResultCode::NotAuthorised, RunState::No, "")));
+        CPPUNIT_ASSERT_EQUAL(504U, codec.status(Refusal::of(ResultCode::DeadlineExceeded, RunState::Unknown, "")));
+    }
+
+    void sharedPromptPartsAreAllButTheLast()
+    {
+        RelayCodec::RequestHead head = this->head();
+        head.set("X-Guavalock-Prefix-Hash", "5c:800,91:410,e4:250");
+        head.set("X-Guavalock-Token-Usage", "1460,80");
+        head.set("X-Guavalock-Chunk-Count", "1,0,6");
+        const OpaqueRequest it = request(head);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1'210), it.sharedTokens);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1'460), it.promptTokens);
+        CPPUNIT_ASSERT((it.pieceCounts == std::vector<std::size_t>{1, 0, 6}));
+        head.set("X-Guavalock-Prefix-Hash", "77:9,91:410,00:1");
+        CPPUNIT_ASSERT_EQUAL(it.sharedPrompt, request(head).sharedPrompt);
+        head.set("X-Guavalock-Prefix-Hash", "e4:250");
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), request(head).sharedPrompt);
+    }
+
+    void batchAnswersFollowThePieces()
+    {
+        const PlatformStageCodec codec;
+        const auto made = codec.batchAnswer(R"({"entries":[{"handle":"10.0.0.1:80/a"},{"reason":"gone"},{"reason":"room"},{}]})", 4);
+        CPPUNIT_ASSERT(made->at(0).end == StageCodec::Made::End::Made);
+        CPPUNIT_ASSERT(made->at(1).end == StageCodec::Made::End::InputsGone);
+        CPPUNIT_ASSERT(made->at(2).end == StageCodec::Made::End::NoRoom);
+        CPPUNIT_ASSERT(made->at(3).end == StageCodec::Made::End::Failed);
+        CPPUNIT_ASSERT(!codec.batchAnswer(R"({"entries":[{}]})", 2));
+        CPPUNIT_ASSERT(!codec.batchAnswer("<html>", 1));
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:80"), codec.maker("10.0.0.1:80/a")->text());
+    }
+
+    void foreignTargetRecordsNameNoTarget()
+    {
+        const PlatformRecordCodec codec;
+        Reason reason;
+        const std::string good = R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready","cold_remaining_ms":40,"born":7})";
+        CPPUNIT_ASSERT(codec.target("i-1", good, reason)->coldRemaining == std::chrono::milliseconds(40));
+        for (const std::string text :
+             {"", "[]", "\xff\xfe", R"({"service":"s"})", R"({"service":1,"address":"10.0.0.1:80","zone":"z","state":"ready"})",
+              R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"asleep"})",
+              R"({"service":"s","address":"nowhere","zone":"z","state":"ready"})"}) {
+            CPPUNIT_ASSERT(!codec.target("i-1", text, reason));
+        }
+    }
+
+    void configurationIsRead()
+    {
+        const PlatformRecordCodec codec;
+        Reason reason;
+        const std::string text = R"({"version":7,"routes":[{"name":"r","hostname":"h","path_prefix":"/p/","type":"streaming",
+            "timeout_ms":6000,"target_latency_ms":1800,"priority":1,"backends":[{"service":"a","weight":90},{"service":"b","weight":10}],
+            "max_attempts":2,"phases":[{"service":"k","after":[],"byte_count":8000},{"service":"l","after":[0],"byte_count":60000}],
+            "resumable":true,"gap_target_ms":200}],"services":[{"name":"k","cold_start_s":3.0,"cold_per_s":11.0,
+            "fragments":{"capacity":1,"queue":2,"batch":46,"call_ms":200.0,"item_ms":3.7,"headroom_mb":0.61,"handle_s":4.0}}],
+            "limits":{"max_body_bytes":9},"tenants":[{"name":"t","api_keys":["k1"],"priority":1}]})";
+        const auto change = codec.operatorChange("config", text, reason);
+        CPPUNIT_ASSERT_MESSAGE(reason.text, change);
+        const auto &catalogue = *std::get<std::shared_ptr<const Catalogue>>(*change);
+        const RouteRecord &route = *catalogue.route("h", "/p/x");
+        CPPUNIT_ASSERT(route.repeatable() && route.rule == RunRule::Stream);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), route.services.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), route.stages.at(1).after.at(0));
+        const BatchTerms &terms = *catalogue.service("k")->batch;
+        CPPUNIT_ASSERT(terms.pieceTime == std::chrono::microseconds(3'700));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(610'000), terms.roomBytes);
+        CPPUNIT_ASSERT_EQUAL(1U, *catalogue.organisation("k1")->rank);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), catalogue.limits().bodyBytes);
+        CPPUNIT_ASSERT(std::get<EvacuationChange>(*codec.operatorChange("evacuate/z", "{}", reason)).evacuated);
+        CPPUNIT_ASSERT(!std::get<EvacuationChange>(*codec.operatorChange("evacuate/z", std::nullopt, reason)).evacuated);
+    }
+
+    void eventsAreCutWhole()
+    {
+        EventSplitter splitter;
+        CPPUNIT_ASSERT_EQUAL(std::string(), splitter.take("id: 1\nda"));
+        CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: x\n\n"), splitter.take("ta: x\n\nid: 2\n"));
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), splitter.lastId());
+        CPPUNIT_ASSERT(splitter.partial());
+        splitter.reset();
+        CPPUNIT_ASSERT_EQUAL(std::string("id:3\r\n\r\n"), splitter.take("id:3\r\n\r\n"));
+        CPPUNIT_ASSERT_EQUAL(std::string("3"), splitter.lastId());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RelayCodecTest);
+
+} // namespace Guavalock
--- a/Utilities/lint.sh
+++ b/Utilities/lint.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 base=${1:-}
-mapfile -t files < <(git ls-files 'Source/*.h' 'Source/*.cpp' 'Fakes/*.h' 'Fakes/*.cpp' 'Tests/*.h' 'Tests/*.cpp' 'Benchmarks/*.cpp' | grep -v Generated)
+mapfile -t files < <(git ls-files 'Source/*.h' 'Source/*.cpp' 'Fakes/*.h' 'Fakes/*.cpp' 'Tests/*.h' 'Tests/*.cpp' 'Benchmarks/*.cpp' 'platform/*.h' 'platform/*.cpp' | grep -v Generated)
 clang-format --dry-run -Werror "${files[@]}"
 mapfile -t units < <(if [ -n "$base" ]; then git diff --name-only --diff-filter=d "$base"; else printf '%s\n' "${files[@]}"; fi | grep '\.cpp$' || true)
 # clang 14 takes the coroutines of GCC's library only when told that it has them.
