Refuse requests whose stages would end within 100 ms of too late

Cause: requests that were expected to just make their objective mostly missed it, and took the place of others. Change: headroom of 100 ms.

--- a/Source/Batching/BatchOwner.cpp
+++ b/Source/Batching/BatchOwner.cpp
@@ -41,7 +41,7 @@
 constexpr unsigned mostTries = 4; ///< Calls that one piece may be in; beyond that its request has missed its objective.
 constexpr double batchWeight = 0.1; ///< Of one call in the running batch size: about two calls of each target.
 constexpr double waitInCall = 0.1; ///< Until the next target is idle, in calls, when several are busy.
-constexpr Milliseconds refusalSlack{150}; ///< A request has to miss its objective by this much before it is refused for that.
+constexpr Milliseconds refusalHeadroom{100}; ///< A request that could make it by less than this is refused; later stages vary by as much.
 constexpr double slowLimit = 2.0; ///< A target that takes this many times the stated time is slow.
 
 Clock::Duration expectedTime(const BatchTerms &terms, std::size_t pieces)
@@ -139,7 +139,7 @@
     const double calls = static_cast<double>(service.queue.ahead(piece, terms, now)) / (static_cast<double>(targets) * batch);
     const Clock::Duration full = expectedTime(terms, terms.batchLimit);
     const auto wait = std::chrono::duration_cast<Clock::Duration>(full * (calls + waitInCall));
-    return now + wait + full > piece.wantedBy + refusalSlack;
+    return now + wait + full + refusalHeadroom > piece.wantedBy;
 }
 
 void BatchOwner::drop(const std::string &origin, const std::string &requestId)
