--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -35,7 +35,7 @@
 constexpr Milliseconds targetWait{40}; ///< Between looks for a target while none may be used.
 constexpr Milliseconds refusalPause{15}; ///< Before another target is tried after a refusal, so that full targets are not hammered.
 constexpr Milliseconds comeBackSoon{400}; ///< After a loss of targets, by when others have taken over.
-constexpr Milliseconds comeBackLater{1'500}; ///< After an overload, by when a burst of a few seconds has eased.
+constexpr Milliseconds comeBackLater{3'000}; ///< After an overload, by when a burst of a few seconds has eased.
 constexpr Milliseconds callerPatience{2'000}; ///< Callers leave a stream that is silent for the longest of this time,
 constexpr int patienceInObjectives = 4; ///< this many times the route's objective
 constexpr int patienceInGaps = 8; ///< and this many times its longest pause.
