Resume broken streams on another target; test site daemons against stand-ins

Cause: a stream that may be resumed was cut when its target broke off, although the route allows a second target (found by brokenStreamsGoOnElsewhere). Change: a broken stream goes on after its last whole event, its stages made again; stand-ins of the store, engines and stage engines; 14 tests of one or two daemons over loopback: faults, at most once, refusals, stages and batches, resumption, keys and targets through peers, evacuation, forgotten history, an outage at start, planned stop, limits.

--- /dev/null
+++ b/Fakes/FakeRecordStore.cpp
@@ -0,0 +1,162 @@
+#include "FakeRecordStore.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/endian/conversion.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+#include <openssl/evp.h>
+
+namespace Guavalock
+{
+
+namespace Asio = boost::asio;
+namespace Http = boost::beast::http;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds readPoll{10};
+constexpr std::size_t lengthBytes = 4;
+
+std::string parameter(const std::string &target, const std::string &name)
+{
+    const std::size_t at = target.find(name + '=');
+    if (at == std::string::npos) {
+        return {};
+    }
+    const std::size_t begin = at + name.size() + 1;
+    return target.substr(begin, target.find('&', begin) - begin);
+}
+
+std::string base64(const std::string &text)
+{
+    std::string out((text.size() + 2) / 3 * 4, '\0');
+    EVP_EncodeBlock(reinterpret_cast<unsigned char *>(out.data()), reinterpret_cast<const unsigned char *>(text.data()),
+                    static_cast<int>(text.size()));
+    return out;
+}
+
+template <class Number>
+std::string bigEndian(Number number)
+{
+    std::string out(sizeof number, '\0');
+    boost::endian::endian_store<Number, sizeof(Number), boost::endian::order::big>(reinterpret_cast<unsigned char *>(out.data()), number);
+    return out;
+}
+
+} // namespace
+
+FakeRecordStore::FakeRecordStore(const Asio::any_io_executor &strand, std::uint16_t port)
+    : m_server(strand, port, [this](FakeServer::Socket &socket, FakeServer::Request request) { return handle(socket, std::move(request)); })
+{
+}
+
+void FakeRecordStore::start()
+{
+    Asio::post(m_server.strand(), [this] { m_server.open(); });
+}
+
+void FakeRecordStore::append(Topic &topic, const std::string &key, const std::string &value)
+{
+    const std::string content = std::string(1, static_cast<char>(key.size())) + key + value;
+    topic.records.push_back(bigEndian(static_cast<std::uint32_t>(content.size())) + content);
+    const std::uint64_t offset = topic.first + topic.records.size() - 1;
+    if (value.empty()) {
+        topic.newest.erase(key);
+    } else {
+        topic.newest[key] = {offset, value};
+    }
+}
+
+void FakeRecordStore::put(const std::string &topic, const std::string &key, const std::string &value)
+{
+    Asio::post(m_server.strand(), [this, topic, key, value] { append(m_topics[topic], key, value); });
+}
+
+void FakeRecordStore::setOutage(bool outage)
+{
+    m_outage = outage;
+}
+
+void FakeRecordStore::forget()
+{
+    Asio::post(m_server.strand(), [this] {
+        for (auto &[name, topic] : m_topics) {
+            topic.first += topic.records.size();
+            topic.records.clear();
+        }
+    });
+}
+
+std::size_t FakeRecordStore::calls() const
+{
+    return m_calls;
+}
+
+Asio::awaitable<bool> FakeRecordStore::handle(FakeServer::Socket &socket, FakeServer::Request request)
+{
+    ++m_calls;
+    if (m_outage) {
+        co_return false;
+    }
+    const std::string target(request.target());
+    Topic &topic = m_topics[parameter(target, "topic")];
+    if (target.starts_with("/log-read")) {
+        co_return co_await read(socket, topic, target);
+    }
+    if (target.starts_with("/log-newest")) {
+        co_return co_await newest(socket, topic);
+    }
+    const std::string &body = request.body();
+    const std::size_t keyBytes = static_cast<unsigned char>(body.at(lengthBytes));
+    append(topic, body.substr(lengthBytes + 1, keyBytes), body.substr(lengthBytes + 1 + keyBytes));
+    co_return co_await FakeServer::send(socket, FakeServer::json(200, "{}"));
+}
+
+Asio::awaitable<bool> FakeRecordStore::newest(FakeServer::Socket &socket, const Topic &topic)
+{
+    boost::json::array entries;
+    for (const auto &[key, record] : topic.newest) {
+        boost::json::object entry;
+        entry["key"] = key;
+        entry["offset"] = record.first;
+        entry["data"] = base64(record.second);
+        entries.push_back(std::move(entry));
+    }
+    const std::uint64_t end = topic.first + topic.records.size();
+    boost::json::object answer;
+    answer["entries"] = std::move(entries);
+    answer["has_more"] = false;
+    answer["end_offset"] = end;
+    FakeServer::Response response = FakeServer::json(200, boost::json::serialize(answer));
+    co_return co_await FakeServer::send(socket, std::move(response));
+}
+
+Asio::awaitable<bool> FakeRecordStore::read(FakeServer::Socket &socket, Topic &topic, const std::string &target)
+{
+    const std::uint64_t from = std::stoull(parameter(target, "from"));
+    const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(std::stoull(parameter(target, "wait_ms")));
+    Asio::steady_timer timer(m_server.strand());
+    while (from >= topic.first + topic.records.size() && std::chrono::steady_clock::now() < until && !m_outage) {
+        timer.expires_after(readPoll);
+        co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
+    }
+    if (m_outage) {
+        co_return false;
+    }
+    if (from < topic.first) {
+        co_return co_await FakeServer::send(socket, FakeServer::json(410, "{}"));
+    }
+    std::string body = bigEndian(std::uint64_t(topic.first + topic.records.size())) + bigEndian(topic.first);
+    for (std::size_t it = from - topic.first; it < topic.records.size(); ++it) {
+        body += topic.records[it];
+    }
+    FakeServer::Response response = FakeServer::json(200, std::move(body));
+    response.set(Http::field::content_type, "application/octet-stream");
+    co_return co_await FakeServer::send(socket, std::move(response));
+}
+
+} // namespace Guavalock
--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -111,13 +111,7 @@
             giveUp();
         }
     });
-    if (!m_route->stages.empty() && !m_request.pieceCounts.empty()) {
-        StagePlan plan(m_route->stages, m_request.pieceCounts, m_request.id, m_request.pieceKey);
-        plan.setDestination(m_parts.fleet.likelyDataCentre(demand(), *m_service, m_parts.clock.now()));
-        StageRun::Terms terms{m_rank, m_objective, firstEventLimit(), m_service->name};
-        m_stages = std::make_unique<StageRun>(m_parts.pieces, m_parts.times, m_parts.clock, std::move(plan), std::move(terms),
-                                              m_cancellation, m_request.id);
-    }
+    beginStages();
     Next next = Next::Again;
     while (next == Next::Again) {
         const bool ready = co_await makeStages();
@@ -128,6 +122,17 @@
     }
 }
 
+void RelayJob::beginStages()
+{
+    if (!m_route->stages.empty() && !m_request.pieceCounts.empty()) {
+        StagePlan plan(m_route->stages, m_request.pieceCounts, m_request.id, m_request.pieceKey);
+        plan.setDestination(m_parts.fleet.likelyDataCentre(demand(), *m_service, m_parts.clock.now()));
+        StageRun::Terms terms{m_rank, m_objective, m_progress.begun ? m_deadline - answerMargin : firstEventLimit(), m_service->name};
+        m_stages = std::make_unique<StageRun>(m_parts.pieces, m_parts.times, m_parts.clock, std::move(plan), std::move(terms),
+                                              m_cancellation, m_request.id);
+    }
+}
+
 Clock::TimePoint RelayJob::firstEventLimit() const
 {
     if (m_route->rule != RunRule::Stream) {
@@ -330,8 +335,16 @@
     co_return Next::Done;
 }
 
-Asio::awaitable<RelayJob::Next> RelayJob::cut(AttemptOutcome &)
+Asio::awaitable<RelayJob::Next> RelayJob::cut(AttemptOutcome &outcome)
 {
+    ++m_runs;
+    m_runState = RunState::Unknown;
+    m_tried.insert(m_lastTarget);
+    if (outcome.end == AttemptOutcome::End::Cut && mayRepeat()) {
+        m_parts.metrics.counter("repeats_total{cause=\"resumed\"}").add();
+        beginStages();
+        co_return Next::Again;
+    }
     m_sink.cut();
     logEnd("cut", 0);
     co_return Next::Done;
--- a/Source/Relay/RelayJob.h
+++ b/Source/Relay/RelayJob.h
@@ -48,6 +48,7 @@
 
     bool admit();
     bool refuseLater(ResultCode code, RunState run, std::string reason);
+    void beginStages();
     boost::asio::awaitable<bool> makeStages();
     boost::asio::awaitable<Next> attempt();
     boost::asio::awaitable<std::optional<TargetPick>> findTarget();
--- /dev/null
+++ b/Tests/Site/SiteTest.cpp
@@ -0,0 +1,308 @@
+#include "SiteFleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <future>
+#include <numeric>
+
+namespace Guavalock
+{
+
+/// Site daemons over loopback against stand-ins of the users' platform.
+class SiteTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(SiteTest);
+    CPPUNIT_TEST(plainRequestsPassUnchanged);
+    CPPUNIT_TEST(faultsOfTargetsNeverLookLikeAnswers);
+    CPPUNIT_TEST(whatMayNotRepeatRunsAtMostOnce);
+    CPPUNIT_TEST(refusalsByTargetsAreTriedElsewhere);
+    CPPUNIT_TEST(streamsGetTheirStagesAndFreeThem);
+    CPPUNIT_TEST(piecesOfManyRequestsShareCalls);
+    CPPUNIT_TEST(brokenStreamsGoOnElsewhere);
+    CPPUNIT_TEST(streamsThatMayNotGoOnDoNotLookWhole);
+    CPPUNIT_TEST(takenKeysAndLeavingTargetsAreHeardOfThroughPeers);
+    CPPUNIT_TEST(evacuatedDataCentresGetNothing);
+    CPPUNIT_TEST(forgottenHistoryLosesNothing);
+    CPPUNIT_TEST(daemonBornInAnOutageServes);
+    CPPUNIT_TEST(plannedStopCutsNothing);
+    CPPUNIT_TEST(inputBeyondTheLimitsIsRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+    using Fault = FakeFleetTarget::Fault;
+
+    static SiteFleet::Ask ask(const std::string &path, const std::string &id)
+    {
+        SiteFleet::Ask ask;
+        ask.path = path;
+        ask.id = id;
+        ask.body = "body of " + id;
+        return ask;
+    }
+
+    static SiteFleet::Ask staged(const std::string &id)
+    {
+        SiteFleet::Ask it = ask("/stream/x", id);
+        it.headers = {{"X-Guavalock-Chunk-Count", "1,3"},
+                      {"X-Guavalock-Chunk-Key", "key"},
+                      {"X-Guavalock-Prefix-Hash", "aa:100,bb:50"},
+                      {"X-Guavalock-Token-Usage", "150,20"}};
+        return it;
+    }
+
+    static std::size_t runs(SiteFleet &fleet, const std::string &id)
+    {
+        std::size_t sum = 0;
+        for (const std::string name : {"plain-1", "plain-2", "model-1", "model-2"}) {
+            const auto runs = fleet.target(name).runs();
+            sum += runs.contains(id) ? runs.at(id) : 0;
+        }
+        return sum;
+    }
+
+    static void setFaults(SiteFleet &fleet, Fault fault, std::size_t requests)
+    {
+        for (const std::string name : {"plain-1", "plain-2", "model-1", "model-2"}) {
+            fleet.target(name).setFault(fault, requests);
+        }
+    }
+
+public:
+    void plainRequestsPassUnchanged()
+    {
+        SiteFleet fleet(1);
+        fleet.start();
+        SiteFleet::Ask it = ask("/safe/x?y=z", "a1");
+        it.headers = {{"X-Guavalock-Tenant-Id", "forged"}, {"X-Guavalock-Pin-Ms", "9"}, {"X-Trace", "t"}};
+        const SiteFleet::Answer answer = fleet.ask(0, it);
+        CPPUNIT_ASSERT_EQUAL(200U, answer.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("a1:body of a1"), answer.body);
+        CPPUNIT_ASSERT(answer.isSigned);
+        const std::string sent = fleet.target(runs(fleet, "a1") == 1 && fleet.target("plain-1").arrivals() == 1 ? "plain-1" : "plain-2").lastHeaders();
+        CPPUNIT_ASSERT(sent.find("POST /safe/x?y=z") == 0);
+        CPPUNIT_ASSERT(sent.find("X-Guavalock-Tenant-Id: mill") != std::string::npos);
+        CPPUNIT_ASSERT(sent.find("X-Trace: t") != std::string::npos);
+        for (const std::string absent : {"forged", "Api-Key", "Pin-Ms"}) {
+            CPPUNIT_ASSERT(sent.find(absent) == std::string::npos);
+        }
+        CPPUNIT_ASSERT_EQUAL(404U, fleet.ask(0, ask("/nowhere", "a2")).status);
+        it.key = "wrong";
+        CPPUNIT_ASSERT_EQUAL(401U, fleet.ask(0, it).status);
+    }
+
+    void faultsOfTargetsNeverLookLikeAnswers()
+    {
+        SiteFleet fleet(1);
+        fleet.start();
+        int n = 0;
+        for (const Fault fault : {Fault::Cut, Fault::Unsigned, Fault::Foreign, Fault::Reset}) {
+            setFaults(fleet, fault, 1);
+            const std::string once = "o" + std::to_string(++n);
+            const SiteFleet::Answer lost = fleet.ask(0, ask("/once/x", once));
+            CPPUNIT_ASSERT(lost.whole && (lost.status == 502 || lost.status == 504) && !lost.isSigned);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), runs(fleet, once));
+            setFaults(fleet, Fault::None, 0);
+            setFaults(fleet, fault, 1);
+            // At most one of the two targets may fail it, so that the second attempt has a chance.
+            fleet.target("plain-2").setFault(Fault::None, 0);
+            const std::string safe = "s" + std::to_string(n);
+            const SiteFleet::Answer answer = fleet.ask(0, ask("/safe/x", safe));
+            CPPUNIT_ASSERT_EQUAL(200U, answer.status);
+            CPPUNIT_ASSERT_EQUAL(safe + ":body of " + safe, answer.body);
+        }
+    }
+
+    void whatMayNotRepeatRunsAtMostOnce()
+    {
+        SiteFleet fleet(2);
+        fleet.start();
+        for (int it = 0; it < 40; ++it) {
+            setFaults(fleet, it % 2 == 0 ? Fault::Reset : Fault::Error, 1);
+            const std::string id = "b" + std::to_string(it);
+            const SiteFleet::Answer answer = fleet.ask(it % 2, ask("/once/x", id));
+            CPPUNIT_ASSERT(runs(fleet, id) <= 1);
+            CPPUNIT_ASSERT(answer.status != 503 || runs(fleet, id) == 0);
+        }
+    }
+
+    void refusalsByTargetsAreTriedElsewhere()
+    {
+        SiteFleet fleet(1);
+        fleet.start();
+        fleet.target("plain-1").setFault(Fault::Refuse, 100);
+        for (int it = 0; it < 10; ++it) {
+            const std::string id = "c" + std::to_string(it);
+            CPPUNIT_ASSERT_EQUAL(200U, fleet.ask(0, ask("/once/x", id)).status);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), runs(fleet, id));
+        }
+        fleet.target("plain-2").setFault(Fault::Refuse, 100);
+        const SiteFleet::Answer refused = fleet.ask(0, ask("/once/x", "c-none"));
+        CPPUNIT_ASSERT_EQUAL(503U, refused.status);
+        CPPUNIT_ASSERT(!refused.retryAfter.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), runs(fleet, "c-none"));
+    }
+
+    void streamsGetTheirStagesAndFreeThem()
+    {
+        SiteFleet fleet(2);
+        fleet.start();
+        const SiteFleet::Answer answer = fleet.ask(0, staged("d1"));
+        CPPUNIT_ASSERT(answer.whole && answer.status == 200 && answer.isSigned);
+        CPPUNIT_ASSERT(answer.body.find("id: 1\n") == 0 && answer.body.find("id: 5\n") != std::string::npos);
+        // The three results of the last stage are the inputs.
+        const std::string first = answer.body.substr(0, answer.body.find("\n\n"));
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(2), std::count(first.begin(), first.end(), ','));
+        CPPUNIT_ASSERT(SiteFleet::await([&] { return fleet.target("stage-1").results() + fleet.target("stage-2").results() == 0; }));
+    }
+
+    void piecesOfManyRequestsShareCalls()
+    {
+        SiteFleet fleet(2);
+        fleet.start();
+        fleet.target("stage-1").setWork(std::chrono::milliseconds(60));
+        fleet.target("stage-2").setWork(std::chrono::milliseconds(60));
+        std::vector<std::future<SiteFleet::Answer>> answers;
+        for (int it = 0; it < 12; ++it) {
+            answers.push_back(std::async(std::launch::async, [&fleet, it] { return fleet.ask(it % 2, staged("e" + std::to_string(it))); }));
+        }
+        for (auto &it : answers) {
+            CPPUNIT_ASSERT_EQUAL(200U, it.get().status);
+        }
+        const std::size_t calls = fleet.target("stage-1").batches() + fleet.target("stage-2").batches();
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(calls) + " calls for 48 pieces", calls <= 20);
+        CPPUNIT_ASSERT(fleet.target("stage-1").largestBatch() <= 8 && fleet.target("stage-2").largestBatch() <= 8);
+    }
+
+    void brokenStreamsGoOnElsewhere()
+    {
+        SiteFleet fleet(1);
+        fleet.start();
+        for (const std::string name : {"model-1", "model-2"}) {
+            fleet.target("model-1").setFault(Fault::None, 0);
+            fleet.target("model-2").setFault(Fault::None, 0);
+            fleet.target(name).setFault(Fault::Cut, 1);
+            for (const std::string number : {"1", "2"}) {
+                const SiteFleet::Answer answer = fleet.ask(0, ask("/streamed/x", "f" + name + number));
+                CPPUNIT_ASSERT(answer.whole);
+                std::string expected;
+                for (int it = 1; it <= 5; ++it) {
+                    expected += "id: " + std::to_string(it) + "\ndata: f" + name + number + " \n\n";
+                }
+                CPPUNIT_ASSERT_EQUAL(expected, answer.body);
+            }
+        }
+    }
+
+    void streamsThatMayNotGoOnDoNotLookWhole()
+    {
+        SiteFleet fleet(1);
+        fleet.start();
+        setFaults(fleet, Fault::Cut, 1);
+        const SiteFleet::Answer answer = fleet.ask(0, staged("g1"));
+        CPPUNIT_ASSERT(!answer.whole);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), runs(fleet, "g1"));
+    }
+
+    void takenKeysAndLeavingTargetsAreHeardOfThroughPeers()
+    {
+        SiteFleet fleet(2);
+        fleet.start();
+        fleet.configure(2, R"("k2")");
+        fleet.writeTarget("plain-1", "draining");
+        CPPUNIT_ASSERT(SiteFleet::await([&] { return fleet.ask(0, ask("/safe/x", "h1")).status == 401; }));
+        CPPUNIT_ASSERT(SiteFleet::await([&] { return fleet.ask(1, ask("/safe/x", "h2")).status == 401; }));
+        SiteFleet::Ask it = ask("/once/x", "");
+        it.key = "k2";
+        CPPUNIT_ASSERT(SiteFleet::await([&] {
+            const std::size_t before = fleet.target("plain-1").arrivals();
+            for (int n = 0; n < 6; ++n) {
+                it.id = "h3" + std::to_string(n);
+                fleet.ask(n % 2, it);
+            }
+            return fleet.target("plain-1").arrivals() == before;
+        }));
+    }
+
+    void evacuatedDataCentresGetNothing()
+    {
+        SiteFleet fleet(1);
+        fleet.start();
+        fleet.store().put("keyed.op", "evacuate/north", "{}");
+        CPPUNIT_ASSERT(SiteFleet::await([&] {
+            const std::size_t before = fleet.target("plain-1").arrivals();
+            for (int n = 0; n < 6; ++n) {
+                fleet.ask(0, ask("/safe/x", "i" + std::to_string(n)));
+            }
+            return fleet.target("plain-1").arrivals() == before;
+        }));
+        fleet.store().put("keyed.op", "evacuate/north", "");
+        CPPUNIT_ASSERT(SiteFleet::await([&] {
+            const std::size_t before = fleet.target("plain-1").arrivals();
+            fleet.ask(0, ask("/safe/x", "i"));
+            return fleet.target("plain-1").arrivals() > before;
+        }));
+    }
+
+    void forgottenHistoryLosesNothing()
+    {
+        SiteFleet fleet(1);
+        fleet.start();
+        fleet.store().forget();
+        fleet.configure(3, R"("k3")");
+        fleet.dropTarget("plain-1");
+        fleet.store().forget();
+        SiteFleet::Ask it = ask("/safe/x", "j1");
+        it.key = "k3";
+        CPPUNIT_ASSERT(SiteFleet::await([&] { return fleet.ask(0, it).status == 200; }));
+    }
+
+    void daemonBornInAnOutageServes()
+    {
+        SiteFleet fleet(2);
+        fleet.start();
+        fleet.killDaemon(1);
+        fleet.store().setOutage(true);
+        fleet.startDaemon(1);
+        CPPUNIT_ASSERT(SiteFleet::await([&] { return fleet.ready(1); }));
+        CPPUNIT_ASSERT_EQUAL(200U, fleet.ask(1, ask("/safe/x", "k1")).status);
+    }
+
+    void plannedStopCutsNothing()
+    {
+        SiteFleet fleet(2);
+        fleet.start();
+        fleet.target("model-1").setWork(std::chrono::milliseconds(150));
+        fleet.target("model-2").setWork(std::chrono::milliseconds(150));
+        std::vector<std::future<SiteFleet::Answer>> answers;
+        for (int it = 0; it < 8; ++it) {
+            answers.push_back(std::async(std::launch::async, [&fleet, it] { return fleet.ask(it % 2, staged("l" + std::to_string(it))); }));
+        }
+        CPPUNIT_ASSERT(SiteFleet::await([&] { return runs(fleet, "l1") + runs(fleet, "l3") > 0; }));
+        const auto stopped = std::async(std::launch::async, [&fleet] { return fleet.daemon(1).stop(); });
+        CPPUNIT_ASSERT(SiteFleet::await([&] { return !fleet.ready(1); }));
+        CPPUNIT_ASSERT_EQUAL(200U, fleet.ask(1, ask("/safe/x", "l-late")).status);
+        for (auto &it : answers) {
+            const SiteFleet::Answer answer = it.get();
+            CPPUNIT_ASSERT(answer.whole && answer.status == 200);
+        }
+        stopped.wait();
+    }
+
+    void inputBeyondTheLimitsIsRefused()
+    {
+        SiteFleet fleet(1);
+        fleet.start();
+        SiteFleet::Ask large = ask("/safe/x", "m1");
+        large.headers = {{"X-Long", std::string(20'000, 'x')}};
+        CPPUNIT_ASSERT_EQUAL(431U, fleet.ask(0, large).status);
+        SiteFleet::Ask body = ask("/safe/x", "m2");
+        body.body = std::string(5 * 1024 * 1024, 'x');
+        const unsigned status = fleet.ask(0, body).status;
+        CPPUNIT_ASSERT(status == 413 || status == 0);
+        CPPUNIT_ASSERT_EQUAL(400U, fleet.ask(0, ask("/safe/x", "")).status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), runs(fleet, "m1") + runs(fleet, "m2"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SiteTest);
+
+} // namespace Guavalock
