Lead operators from a request's id to its cause; log refusals and repeats

Cause: a refusal under load did not say what had decided it, and there was no page for on-call engineers.

--- a/Source/Batching/BatchOwner.cpp
+++ b/Source/Batching/BatchOwner.cpp
@@ -44,6 +44,11 @@
 constexpr Milliseconds refusalHeadroom{100}; ///< A request that could make it by less than this is refused; later stages vary by as much.
 constexpr double slowLimit = 2.0; ///< A target that takes this many times the stated time is slow.
 
+std::string inMilliseconds(Clock::Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<Milliseconds>(duration).count());
+}
+
 Clock::Duration expectedTime(const BatchTerms &terms, std::size_t pieces)
 {
     return terms.callTime + terms.pieceTime * static_cast<int>(pieces);
@@ -139,7 +144,19 @@
     const double calls = static_cast<double>(service.queue.ahead(piece, terms, now)) / (static_cast<double>(targets) * batch);
     const Clock::Duration full = expectedTime(terms, terms.batchLimit);
     const auto wait = std::chrono::duration_cast<Clock::Duration>(full * (calls + waitInCall));
-    return now + wait + full + refusalHeadroom > piece.wantedBy;
+    const bool late = now + wait + full + refusalHeadroom > piece.wantedBy;
+    if (late) {
+        Log::state("batching", "refused",
+                   {{"id", piece.requestId},
+                    {"service", piece.service},
+                    {"queued", std::to_string(service.queue.size())},
+                    {"batch", std::to_string(static_cast<int>(batch))},
+                    {"targets", std::to_string(targets)},
+                    {"expected_ms", inMilliseconds(wait + full)},
+                    {"wanted_in_ms", inMilliseconds(piece.wantedBy - now)},
+                    {"rank", std::to_string(piece.rank)}});
+    }
+    return late;
 }
 
 void BatchOwner::drop(const std::string &origin, const std::string &requestId)
@@ -351,8 +368,8 @@
                 {"made", count(StageCodec::Made::End::Made)},
                 {"inputs_gone", count(StageCodec::Made::End::InputsGone)},
                 {"no_room", count(StageCodec::Made::End::NoRoom)},
-                {"oldest_wait_ms", milliseconds(start - oldest)},
-                {"took_ms", milliseconds(now - start)},
+                {"oldest_wait_ms", inMilliseconds(start - oldest)},
+                {"took_ms", inMilliseconds(now - start)},
                 {"queued", std::to_string(m_services[name].queue.size())}});
 }
 
--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -281,7 +281,7 @@
     m_runState = RunState::Yes;
     m_tried.insert(m_lastTarget);
     if (outcome.head.status >= 500 && mayRepeat()) {
-        m_parts.metrics.counter("repeats_total{cause=\"target-error\"}").add();
+        noteRepeat("target-error");
         co_return Next::Again;
     }
     co_await m_sink.whole(outcome.head, outcome.body);
@@ -303,7 +303,7 @@
         co_await refuse(ResultCode::Overloaded, "targets refuse requests of service " + m_service->name);
         co_return Next::Done;
     }
-    m_parts.metrics.counter("repeats_total{cause=\"not-run\"}").add();
+    noteRepeat("not-run");
     Asio::steady_timer timer(m_cancellation.strand(), refusalPause);
     co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
     co_return Next::Again;
@@ -316,7 +316,7 @@
         co_await refuse(ResultCode::StageUnavailable, "stage results were lost before they were read");
         co_return Next::Done;
     }
-    m_parts.metrics.counter("repeats_total{cause=\"inputs-gone\"}").add();
+    noteRepeat("inputs-gone");
     m_stages->restart();
     co_return Next::Again;
 }
@@ -327,8 +327,7 @@
     m_tried.insert(m_lastTarget);
     m_runState = RunState::Unknown;
     if (mayRepeat()) {
-        const bool silent = outcome.end == AttemptOutcome::End::Silent;
-        m_parts.metrics.counter(silent ? "repeats_total{cause=\"silent\"}" : "repeats_total{cause=\"broken\"}").add();
+        noteRepeat(outcome.end == AttemptOutcome::End::Silent ? "silent" : "broken");
         co_return Next::Again;
     }
     co_await refuse(ResultCode::OutcomeUnknown, "the target " + m_lastTarget + " gave no whole answer");
@@ -341,7 +340,7 @@
     m_runState = RunState::Unknown;
     m_tried.insert(m_lastTarget);
     if (outcome.end == AttemptOutcome::End::Cut && mayRepeat()) {
-        m_parts.metrics.counter("repeats_total{cause=\"resumed\"}").add();
+        noteRepeat("resumed");
         beginStages();
         co_return Next::Again;
     }
@@ -389,6 +388,17 @@
     logEnd("refused", 0);
 }
 
+void RelayJob::noteRepeat(std::string_view cause) const
+{
+    m_parts.metrics.counter("repeats_total{cause=\"" + std::string(cause) + "\"}").add();
+    Log::state("relay", "repeat",
+               {{"id", m_request.id},
+                {"cause", std::string(cause)},
+                {"target", m_lastTarget},
+                {"sends", std::to_string(m_sends)},
+                {"left_ms", std::to_string(timeLeft().count())}});
+}
+
 void RelayJob::logEnd(std::string_view outcome, unsigned status) const
 {
     const auto took = std::chrono::duration_cast<Milliseconds>(m_parts.clock.now() - m_request.arrived);
--- a/Source/Relay/RelayJob.h
+++ b/Source/Relay/RelayJob.h
@@ -72,6 +72,7 @@
 
     std::chrono::milliseconds timeLeft() const;
     std::chrono::milliseconds silenceLimit() const;
+    void noteRepeat(std::string_view cause) const;
     void logEnd(std::string_view outcome, unsigned status) const;
 
     const RelayParts &m_parts;
--- /dev/null
+++ b/Tests/Site/MetricsPageTest.cpp
@@ -0,0 +1,56 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <filesystem>
+#include <fstream>
+#include <regex>
+#include <set>
+#include <sstream>
+
+namespace Guavalock
+{
+
+/// Compares docs/METRICS.md with the names that the site daemon's sources use.
+class MetricsPageTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(MetricsPageTest);
+    CPPUNIT_TEST(pageListsEveryMetric);
+    CPPUNIT_TEST_SUITE_END();
+
+    static std::string text(const std::filesystem::path &path)
+    {
+        std::ifstream file(path);
+        std::stringstream out;
+        out << file.rdbuf();
+        return out.str();
+    }
+
+    static std::set<std::string> matches(const std::string &text, const std::string &pattern)
+    {
+        const std::regex expression(pattern);
+        std::set<std::string> found;
+        for (std::sregex_iterator it(text.begin(), text.end(), expression), end; it != end; ++it) {
+            found.insert((*it)[1]);
+        }
+        return found;
+    }
+
+public:
+    void pageListsEveryMetric()
+    {
+        const std::filesystem::path root = GUAVALOCK_SOURCE_DIR;
+        std::string sources;
+        for (const std::string part : {"Fleet", "Batching", "Mesh", "Relay", "Site"}) {
+            for (const auto &it : std::filesystem::directory_iterator(root / "Source" / part)) {
+                sources += it.path().extension() == ".cpp" ? text(it.path()) : "";
+            }
+        }
+        const auto used = matches(sources, "(?:counter|distribution)\\((?:std::string\\()?\"([a-z_]+)");
+        const auto listed = matches(text(root / "docs" / "METRICS.md"), "`([a-z_]+_(?:seconds|total))");
+        CPPUNIT_ASSERT(used.size() > 5);
+        CPPUNIT_ASSERT(used == listed);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MetricsPageTest);
+
+} // namespace Guavalock
