Tell askers of drops that a reader never heard of

Their reader had been killed and started again; it held the newest records only and answered with those after the asked offset, so drops before its own start never reached the others. Ruled out: the store turning machines away (they ask peers within 0.7 s). Change: a mirror knows from which offset on it has every drop, and answers earlier questions with a complete update. The test dropsThatAPeerNeverHeardOfAreFoundAllTheSame failed before.

--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -143,7 +143,7 @@
     if (!newest) {
         co_return false;
     }
-    apply(topic, m_parts.mirror.replace({topic, newest->records, newest->next, m_parts.clock.now()}));
+    apply(topic, m_parts.mirror.apply({topic, newest->records, newest->next, m_parts.clock.now(), true}));
     co_return true;
 }
 
@@ -159,7 +159,7 @@
     if (read.end == RecordStore::ReadEnd::Failed) {
         co_return false;
     }
-    apply(topic, m_parts.mirror.apply({topic, read.records, read.next, m_parts.clock.now()}));
+    apply(topic, m_parts.mirror.apply({topic, read.records, read.next, m_parts.clock.now(), false}));
     co_return true;
 }
 
--- a/Source/Fleet/RecordMirror.cpp
+++ b/Source/Fleet/RecordMirror.cpp
@@ -29,10 +29,27 @@
     return m_topics.at(static_cast<std::size_t>(topic));
 }
 
-std::vector<KeyedRecord> RecordMirror::apply(const RecordUpdate &update)
+void RecordMirror::addDrops(const Held &held, RecordUpdate &update)
+{
+    std::set<std::string> keys;
+    for (const KeyedRecord &it : update.records) {
+        keys.insert(it.key);
+    }
+    for (const auto &[key, record] : held.records) {
+        if (record.value && record.offset < update.next && !keys.contains(key)) {
+            update.records.push_back({key, std::nullopt, update.next - 1});
+        }
+    }
+}
+
+std::vector<KeyedRecord> RecordMirror::apply(RecordUpdate update)
 {
     const std::scoped_lock lock(m_mutex);
     Held &held = this->held(update.topic);
+    if (update.complete) {
+        addDrops(held, update);
+        held.dropsKnownFrom = std::max(held.dropsKnownFrom, update.next);
+    }
     std::vector<KeyedRecord> newer;
     for (const KeyedRecord &it : update.records) {
         if (adopt(held, it)) {
@@ -46,23 +63,6 @@
     return newer;
 }
 
-std::vector<KeyedRecord> RecordMirror::replace(RecordUpdate newest)
-{
-    std::set<std::string> keys;
-    for (const KeyedRecord &it : newest.records) {
-        keys.insert(it.key);
-    }
-    {
-        const std::scoped_lock lock(m_mutex);
-        for (const auto &[key, record] : held(newest.topic).records) {
-            if (record.value && record.offset < newest.next && !keys.contains(key)) {
-                newest.records.push_back({key, std::nullopt, newest.next - 1});
-            }
-        }
-    }
-    return apply(newest);
-}
-
 RecordMirror::Progress RecordMirror::progress(Topic topic) const
 {
     const std::scoped_lock lock(m_mutex);
@@ -73,9 +73,10 @@
 {
     const std::scoped_lock lock(m_mutex);
     const Held &held = this->held(topic);
-    RecordUpdate update{topic, {}, held.progress.next, held.progress.confirmed};
+    const bool complete = from < held.dropsKnownFrom;
+    RecordUpdate update{topic, {}, held.progress.next, held.progress.confirmed, complete};
     for (const auto &[key, record] : held.records) {
-        if (record.offset >= from) {
+        if (complete ? record.value.has_value() : record.offset >= from) {
             update.records.push_back(record);
         }
     }
--- a/Source/Fleet/RecordMirror.h
+++ b/Source/Fleet/RecordMirror.h
@@ -23,23 +23,25 @@
         Clock::TimePoint confirmed; ///< When everything before that was last known to be here.
     };
 
-    /// Takes records in; returns those that are newer than what was held.
-    std::vector<KeyedRecord> apply(const RecordUpdate &update);
-
-    /// Takes the complete newest records in. Keys held below the offset and missing there count as dropped.
-    std::vector<KeyedRecord> replace(RecordUpdate newest);
+    /// Takes records in; returns those that are newer than what was held. With a complete update, keys held below its offset and
+    /// missing there count as dropped.
+    std::vector<KeyedRecord> apply(RecordUpdate update);
 
     Progress progress(Topic topic) const;
 
-    /// Returns what is held from an offset on, dropped keys included.
+    /// Returns what is held from an offset on, dropped keys included; or a complete update, when keys may have been dropped since
+    /// that offset without this mirror having heard of them.
     RecordUpdate since(Topic topic, std::uint64_t from) const;
 
 private:
     struct Held {
         std::map<std::string, KeyedRecord> records;
         Progress progress;
+        std::uint64_t dropsKnownFrom = 0; ///< Every drop from this offset on is held.
     };
 
+    static void addDrops(const Held &held, RecordUpdate &update);
+
     /// Takes one record in, if it is newer.
     static bool adopt(Held &held, const KeyedRecord &record);
 
--- a/Source/Fleet/RecordUpdate.h
+++ b/Source/Fleet/RecordUpdate.h
@@ -15,6 +15,7 @@
     std::vector<KeyedRecord> records;
     std::uint64_t next = 0; ///< Everything before this offset is known with these records.
     Clock::TimePoint confirmed; ///< When that was so at the store.
+    bool complete = false; ///< Keys that are not among the records have been dropped.
 };
 
 } // namespace Guavalock
--- a/Source/Mesh/Generated/Mesh_generated.h
+++ b/Source/Mesh/Generated/Mesh_generated.h
@@ -995,7 +995,8 @@
     VT_TOPIC = 4,
     VT_NEXT = 6,
     VT_RECORDS = 8,
-    VT_AGE_US = 10
+    VT_AGE_US = 10,
+    VT_COMPLETE = 12
   };
   uint8_t topic() const {
     return GetField<uint8_t>(VT_TOPIC, 0);
@@ -1009,6 +1010,9 @@
   int64_t age_us() const {
     return GetField<int64_t>(VT_AGE_US, 0);
   }
+  bool complete() const {
+    return GetField<uint8_t>(VT_COMPLETE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_TOPIC, 1) &&
@@ -1017,6 +1021,7 @@
            verifier.VerifyVector(records()) &&
            verifier.VerifyVectorOfTables(records()) &&
            VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
+           VerifyField<uint8_t>(verifier, VT_COMPLETE, 1) &&
            verifier.EndTable();
   }
 };
@@ -1037,6 +1042,9 @@
   void add_age_us(int64_t age_us) {
     fbb_.AddElement<int64_t>(Records::VT_AGE_US, age_us, 0);
   }
+  void add_complete(bool complete) {
+    fbb_.AddElement<uint8_t>(Records::VT_COMPLETE, static_cast<uint8_t>(complete), 0);
+  }
   explicit RecordsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1053,11 +1061,13 @@
     uint8_t topic = 0,
     uint64_t next = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Guavalock::MeshWire::Record>>> records = 0,
-    int64_t age_us = 0) {
+    int64_t age_us = 0,
+    bool complete = false) {
   RecordsBuilder builder_(_fbb);
   builder_.add_age_us(age_us);
   builder_.add_next(next);
   builder_.add_records(records);
+  builder_.add_complete(complete);
   builder_.add_topic(topic);
   return builder_.Finish();
 }
@@ -1072,14 +1082,16 @@
     uint8_t topic = 0,
     uint64_t next = 0,
     const std::vector<flatbuffers::Offset<Guavalock::MeshWire::Record>> *records = nullptr,
-    int64_t age_us = 0) {
+    int64_t age_us = 0,
+    bool complete = false) {
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<Guavalock::MeshWire::Record>>(*records) : 0;
   return Guavalock::MeshWire::CreateRecords(
       _fbb,
       topic,
       next,
       records__,
-      age_us);
+      age_us,
+      complete);
 }
 
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Source/Mesh/MeshCodec.cpp
+++ b/Source/Mesh/MeshCodec.cpp
@@ -180,6 +180,7 @@
     RecordUpdate update;
     update.topic = static_cast<Topic>(wire.topic());
     update.next = wire.next();
+    update.complete = wire.complete();
     update.confirmed = timeIn(-wire.age_us(), now);
     if (wire.records() != nullptr) {
         for (const MeshWire::Record *it : *wire.records()) {
@@ -273,7 +274,7 @@
         list.push_back(MeshWire::CreateRecord(builder, key, value, it.offset));
     }
     const auto body = MeshWire::CreateRecordsDirect(builder, static_cast<std::uint8_t>(update.topic), update.next, &list,
-                                                    microsecondsTo(now, update.confirmed));
+                                                    microsecondsTo(now, update.confirmed), update.complete);
     return finish(builder, MeshWire::Body::Records, body.Union());
 }
 
--- a/Tests/Fleet/FleetTest.cpp
+++ b/Tests/Fleet/FleetTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(olderRecordsNeverReplaceNewerOnes);
     CPPUNIT_TEST(keysMissingFromTheNewestRecordsAreDropped);
     CPPUNIT_TEST(recordsOfAPeerKeepTheirAge);
+    CPPUNIT_TEST(dropsThatAPeerNeverHeardOfAreFoundAllTheSame);
     CPPUNIT_TEST(coldSharesAddUpToTheRate);
     CPPUNIT_TEST(disjointViewsStayWithinTheColdBound);
     CPPUNIT_TEST(unknownMembersSendNothingToColdTargets);
@@ -84,8 +85,8 @@
     void olderRecordsNeverReplaceNewerOnes()
     {
         RecordMirror mirror;
-        mirror.apply({Topic::Operator, {{"config", "new", 9}}, 10, m_now});
-        CPPUNIT_ASSERT(mirror.apply({Topic::Operator, {{"config", "old", 4}}, 5, m_now}).empty());
+        mirror.apply({Topic::Operator, {{"config", "new", 9}}, 10, m_now, false});
+        CPPUNIT_ASSERT(mirror.apply({Topic::Operator, {{"config", "old", 4}}, 5, m_now, false}).empty());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(10), mirror.progress(Topic::Operator).next);
         CPPUNIT_ASSERT_EQUAL(std::string("new"), *mirror.since(Topic::Operator, 0).records.front().value);
     }
@@ -93,8 +94,8 @@
     void keysMissingFromTheNewestRecordsAreDropped()
     {
         RecordMirror mirror;
-        mirror.apply({Topic::Targets, {{"a", "1", 3}, {"b", "1", 8}}, 9, m_now});
-        const auto changes = mirror.replace({Topic::Targets, {{"c", "1", 5}}, 7, m_now});
+        mirror.apply({Topic::Targets, {{"a", "1", 3}, {"b", "1", 8}}, 9, m_now, false});
+        const auto changes = mirror.apply({Topic::Targets, {{"c", "1", 5}}, 7, m_now, true});
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), changes.size());
         CPPUNIT_ASSERT_EQUAL(std::string("a"), changes.back().key);
         CPPUNIT_ASSERT(!changes.back().value);
@@ -105,12 +106,30 @@
     void recordsOfAPeerKeepTheirAge()
     {
         RecordMirror mirror;
-        mirror.apply({Topic::Targets, {}, 4, m_now - Milliseconds(900)});
+        mirror.apply({Topic::Targets, {}, 4, m_now - Milliseconds(900), false});
         CPPUNIT_ASSERT(mirror.progress(Topic::Targets).confirmed == m_now - Milliseconds(900));
-        mirror.apply({Topic::Targets, {}, 4, m_now - Milliseconds(2'000)});
+        mirror.apply({Topic::Targets, {}, 4, m_now - Milliseconds(2'000), false});
         CPPUNIT_ASSERT(mirror.progress(Topic::Targets).confirmed == m_now - Milliseconds(900));
     }
 
+    /// A daemon that has just started reads the newest records only, and others then read through it.
+    void dropsThatAPeerNeverHeardOfAreFoundAllTheSame()
+    {
+        RecordMirror old;
+        old.apply({Topic::Targets, {{"gone", "1", 3}, {"kept", "1", 4}}, 5, m_now, false});
+        RecordMirror young;
+        young.apply({Topic::Targets, {{"kept", "1", 4}, {"new", "1", 7}}, 8, m_now, true});
+        const RecordUpdate update = young.since(Topic::Targets, 5);
+        CPPUNIT_ASSERT(update.complete);
+        const auto changes = old.apply(update);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), changes.size());
+        CPPUNIT_ASSERT(changes[0].key == "new" && changes[1].key == "gone" && !changes[1].value);
+        // From there on, what changes is enough.
+        young.apply({Topic::Targets, {{"kept", std::nullopt, 8}}, 9, m_now, false});
+        CPPUNIT_ASSERT(!young.since(Topic::Targets, 8).complete);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), young.since(Topic::Targets, 8).records.size());
+    }
+
     void coldSharesAddUpToTheRate()
     {
         for (std::size_t n = 1; n <= 74; ++n) {
--- a/Tests/Mesh/MeshTest.cpp
+++ b/Tests/Mesh/MeshTest.cpp
@@ -100,11 +100,11 @@
         handlers.records = [&](RecordUpdate update) {
             got = std::move(update);
         };
-        const RecordUpdate sent{Topic::Targets, {{"gone", std::nullopt, 4}, {"empty", "", 5}}, 6, m_now - Milliseconds(300)};
+        const RecordUpdate sent{Topic::Targets, {{"gone", std::nullopt, 4}, {"empty", "", 5}}, 6, m_now - Milliseconds(300), true};
         CPPUNIT_ASSERT(MeshCodec::read(MeshCodec::records(sent, m_now), m_now, handlers));
         CPPUNIT_ASSERT(!got->records.at(0).value && got->records.at(1).value);
         CPPUNIT_ASSERT(got->confirmed == m_now - Milliseconds(300));
-        CPPUNIT_ASSERT(got->topic == Topic::Targets && got->next == 6);
+        CPPUNIT_ASSERT(got->topic == Topic::Targets && got->next == 6 && got->complete);
     }
 
     void damagedFramesAreRefusedOrHarmless()
