--- a/Fakes/FakeFleetTarget.cpp
+++ b/Fakes/FakeFleetTarget.cpp
@@ -172,8 +172,8 @@
     case Fault::Error:
         co_return co_await FakeServer::send(socket, signedAnswer(request, 500, body));
     case Fault::Cut: {
-        const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n" + std::string(attemptId) + ": " + std::string(request[attemptId])
-            + "\r\n" + signature + ": s\r\n\r\nhalf";
+        const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n" + std::string(attemptId) + ": "
+            + std::string(request[attemptId]) + "\r\n" + signature + ": s\r\n\r\nhalf";
         co_await Asio::async_write(socket, Asio::buffer(text), Asio::as_tuple(Asio::use_awaitable));
         co_return false;
     }
@@ -195,8 +195,8 @@
 Asio::awaitable<bool> FakeFleetTarget::stream(FakeServer::Socket &socket, const FakeServer::Request &request, Fault fault)
 {
     const std::string id(request[attemptId]);
-    std::string text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" + std::string(attemptId) + ": "
-        + id + "\r\n" + signature + ": " + m_id + "\r\n\r\n";
+    std::string text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" + std::string(attemptId)
+        + ": " + id + "\r\n" + signature + ": " + m_id + "\r\n\r\n";
     const auto from = request[lastEvent];
     const int first = from.empty() ? 1 : std::stoi(std::string(from)) + 1;
     for (int it = first; it <= events; ++it) {
--- a/Source/Batching/BatchQueue.cpp
+++ b/Source/Batching/BatchQueue.cpp
@@ -65,9 +65,9 @@
 
 std::vector<BatchQueue::Entry> BatchQueue::takeLate(Clock::TimePoint now)
 {
-    const auto late = std::ranges::stable_partition(m_entries, [now](const Entry &it) { return it.piece.deadline > now; });
-    std::vector<Entry> taken(std::make_move_iterator(late.begin()), std::make_move_iterator(late.end()));
-    m_entries.erase(late.begin(), late.end());
+    const auto late = std::stable_partition(m_entries.begin(), m_entries.end(), [now](const Entry &it) { return it.piece.deadline > now; });
+    std::vector<Entry> taken(std::make_move_iterator(late), std::make_move_iterator(m_entries.end()));
+    m_entries.erase(late, m_entries.end());
     return taken;
 }
 
--- a/Tests/Site/SiteFleet.cpp
+++ b/Tests/Site/SiteFleet.cpp
@@ -3,8 +3,8 @@
 #include "Kernel/Registry.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/strand.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -96,12 +96,9 @@
 void SiteFleet::writeTarget(const std::string &name, const std::string &state)
 {
     const Place &place = m_places.at(name);
-    const boost::json::object entry{{"service", place.service},
-                                    {"address", "127.0.0.1:" + std::to_string(place.port)},
-                                    {"zone", place.dataCentre},
-                                    {"state", state},
-                                    {"cold_remaining_ms", 0},
-                                    {"born", 1}};
+    const boost::json::object entry{{"service", place.service}, {"address", "127.0.0.1:" + std::to_string(place.port)},
+                                    {"zone", place.dataCentre}, {"state", state},
+                                    {"cold_remaining_ms", 0},   {"born", 1}};
     m_store->put("keyed.servers", name, boost::json::serialize(entry));
 }
 
--- a/Tests/Site/SiteTest.cpp
+++ b/Tests/Site/SiteTest.cpp
@@ -77,7 +77,8 @@
         CPPUNIT_ASSERT_EQUAL(200U, answer.status);
         CPPUNIT_ASSERT_EQUAL(std::string("a1:body of a1"), answer.body);
         CPPUNIT_ASSERT(answer.isSigned);
-        const std::string sent = fleet.target(runs(fleet, "a1") == 1 && fleet.target("plain-1").arrivals() == 1 ? "plain-1" : "plain-2").lastHeaders();
+        const std::string sent
+            = fleet.target(runs(fleet, "a1") == 1 && fleet.target("plain-1").arrivals() == 1 ? "plain-1" : "plain-2").lastHeaders();
         CPPUNIT_ASSERT(sent.find("POST /safe/x?y=z") == 0);
         CPPUNIT_ASSERT(sent.find("X-Guavalock-Tenant-Id: mill") != std::string::npos);
         CPPUNIT_ASSERT(sent.find("X-Trace: t") != std::string::npos);
