Give a silent target up only with a repeat in hand

Change: the repeat is taken from the budget before the target is given up; the limit is at least three times the target's usual time.

--- a/Source/Fleet/FleetTable.cpp
+++ b/Source/Fleet/FleetTable.cpp
@@ -142,7 +142,8 @@
         return std::nullopt;
     }
     target->sent(demand.promptTokens, now);
-    return TargetPick{target->record().id, target->record().address, target->record().dataCentre, demand.service};
+    const TargetRecord &record = target->record();
+    return TargetPick{record.id, record.address, record.dataCentre, demand.service, target->typicalLatency()};
 }
 
 std::string FleetTable::likelyDataCentre(const TargetDemand &demand, const ServiceRecord &service, Clock::TimePoint now)
--- a/Source/Fleet/TargetPick.h
+++ b/Source/Fleet/TargetPick.h
@@ -2,6 +2,7 @@
 
 #include "Settings/Endpoint.h"
 
+#include <chrono>
 #include <string>
 
 namespace Guavalock
@@ -13,6 +14,7 @@
     Endpoint address;
     std::string dataCentre;
     std::string service;
+    std::chrono::microseconds typicalLatency{0}; ///< To the first byte of an answer; zero when unknown.
 };
 
 } // namespace Guavalock
--- a/Source/Relay/RelayAttempt.cpp
+++ b/Source/Relay/RelayAttempt.cpp
@@ -109,6 +109,9 @@
     std::optional<DeadlineTimer> silence;
     if (m_terms.silenceLimit) {
         silence.emplace(m_cancellation.strand(), m_parts.clock.now() + *m_terms.silenceLimit, [this] {
+            if (!m_terms.mayGiveUp()) {
+                return;
+            }
             m_silent = true;
             m_exchange.close();
         });
--- a/Source/Relay/RelayAttempt.h
+++ b/Source/Relay/RelayAttempt.h
@@ -32,6 +32,7 @@
         TargetPick target;
         SendTerms send;
         std::optional<std::chrono::milliseconds> silenceLimit; ///< To the answer's first byte; none when waiting is all that is left.
+        std::function<bool()> mayGiveUp; ///< Asked when that time has passed; the attempt goes on when it returns false.
     };
 
     RelayAttempt(const RelayParts &parts, Terms terms, StreamProgress &progress, AnswerSink &sink, Cancellation &cancellation);
--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -40,6 +40,7 @@
 constexpr int patienceInObjectives = 4; ///< this many times the route's objective
 constexpr int patienceInGaps = 8; ///< and this many times its longest pause.
 constexpr std::uint64_t bytesForToken = 2'800; ///< Crossing data centres that cost as much as one prompt token read again.
+constexpr int silenceInLatencies = 3; ///< Silence for this many times the target's usual time means that something is wrong.
 constexpr unsigned mostSends = 8; ///< Sends that reach no target or are refused; beyond that the service has no room.
 constexpr unsigned mostRestarts = 2; ///< Times that stages are made again for one request.
 
@@ -222,14 +223,15 @@
     return terms;
 }
 
-Milliseconds RelayJob::silenceLimit() const
+Milliseconds RelayJob::silenceLimit(const TargetPick &target) const
 {
-    return m_route->objective / 2;
+    const auto usual = std::chrono::duration_cast<Milliseconds>(silenceInLatencies * target.typicalLatency);
+    return std::max(m_route->objective / 2, usual);
 }
 
-bool RelayJob::otherTargetWorthwhile() const
+bool RelayJob::otherTargetWorthwhile(const TargetPick &target) const
 {
-    return m_route->repeatable() && m_runs + 1 < m_route->maxAttempts && timeLeft() > 2 * silenceLimit();
+    return m_route->repeatable() && m_runs + 1 < m_route->maxAttempts && timeLeft() > 2 * silenceLimit(target);
 }
 
 Asio::awaitable<RelayJob::Next> RelayJob::attempt()
@@ -249,10 +251,12 @@
     m_sentAt = m_parts.clock.now();
     m_lastTarget = target->id;
     std::optional<Milliseconds> silence;
-    if (otherTargetWorthwhile()) {
-        silence = silenceLimit();
+    if (otherTargetWorthwhile(*target)) {
+        silence = silenceLimit(*target);
     }
-    RelayAttempt attempt(m_parts, {m_request, *m_route, *target, sendTerms(*target), silence}, m_progress, m_sink, m_cancellation);
+    const auto mayGiveUp = [this] { return m_parts.budget.take(m_service->name, m_parts.clock.now()); };
+    RelayAttempt attempt(m_parts, {m_request, *m_route, *target, sendTerms(*target), silence, mayGiveUp}, m_progress, m_sink,
+                         m_cancellation);
     attempt.onBegun([this, &target] {
         m_parts.fleet.began(target->id, m_request.promptTokens);
         const Clock::TimePoint now = m_parts.clock.now();
@@ -326,8 +330,10 @@
     ++m_runs;
     m_tried.insert(m_lastTarget);
     m_runState = RunState::Unknown;
-    if (mayRepeat()) {
-        noteRepeat(outcome.end == AttemptOutcome::End::Silent ? "silent" : "broken");
+    // A silent target is given up only with a repeat from the budget in hand.
+    const bool silent = outcome.end == AttemptOutcome::End::Silent;
+    if (silent || mayRepeat()) {
+        noteRepeat(silent ? "silent" : "broken");
         co_return Next::Again;
     }
     co_await refuse(ResultCode::OutcomeUnknown, "the target " + m_lastTarget + " gave no whole answer");
--- a/Source/Relay/RelayJob.h
+++ b/Source/Relay/RelayJob.h
@@ -64,14 +64,14 @@
 
     /// Returns whether the request may be sent to another target after one that may have run it, and takes it from the budget.
     bool mayRepeat();
-    bool otherTargetWorthwhile() const;
+    bool otherTargetWorthwhile(const TargetPick &target) const;
     TargetDemand demand() const;
     SendTerms sendTerms(const TargetPick &target) const;
     /// Returns the time by which an answer has to have begun, or its caller is gone.
     Clock::TimePoint firstEventLimit() const;
 
     std::chrono::milliseconds timeLeft() const;
-    std::chrono::milliseconds silenceLimit() const;
+    std::chrono::milliseconds silenceLimit(const TargetPick &target) const;
     void noteRepeat(std::string_view cause) const;
     void logEnd(std::string_view outcome, unsigned status) const;
 
--- a/Tests/Site/SiteTest.cpp
+++ b/Tests/Site/SiteTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(faultsOfTargetsNeverLookLikeAnswers);
     CPPUNIT_TEST(whatMayNotRepeatRunsAtMostOnce);
     CPPUNIT_TEST(refusalsByTargetsAreTriedElsewhere);
+    CPPUNIT_TEST(slowTargetsAreNotGivenUpWithoutARepeatInHand);
     CPPUNIT_TEST(streamsGetTheirStagesAndFreeThem);
     CPPUNIT_TEST(piecesOfManyRequestsShareCalls);
     CPPUNIT_TEST(brokenStreamsGoOnElsewhere);
@@ -142,6 +143,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), runs(fleet, "c-none"));
     }
 
+    void slowTargetsAreNotGivenUpWithoutARepeatInHand()
+    {
+        SiteFleet fleet(1);
+        fleet.start();
+        SiteSettings settings;
+        settings.repeats = {0, 0, std::chrono::seconds(10)};
+        fleet.daemon(0).reload(settings);
+        for (const std::string name : {"plain-1", "plain-2"}) {
+            fleet.target(name).setWork(std::chrono::milliseconds(400));
+        }
+        for (int it = 0; it < 4; ++it) {
+            CPPUNIT_ASSERT_EQUAL(200U, fleet.ask(0, ask("/safe/x", "n" + std::to_string(it))).status);
+        }
+    }
+
     void streamsGetTheirStagesAndFreeThem()
     {
         SiteFleet fleet(2);
