--- a/Fakes/FakeFleetTarget.cpp
+++ b/Fakes/FakeFleetTarget.cpp
@@ -219,6 +219,11 @@
 
 Asio::awaitable<bool> FakeFleetTarget::batch(FakeServer::Socket &socket, const FakeServer::Request &request)
 {
+    if (takeFault() == Fault::Refuse) {
+        FakeServer::Response refusal = FakeServer::json(503, "{}");
+        refusal.set(notRun, "1");
+        co_return co_await FakeServer::send(socket, std::move(refusal));
+    }
     const Json::value body = Json::parse(request.body());
     const Json::array &pieces = body.at("entries").as_array();
     co_await work();
--- a/Source/Batching/BatchOwner.cpp
+++ b/Source/Batching/BatchOwner.cpp
@@ -35,7 +35,7 @@
 constexpr Milliseconds freeTimeout{1'000}; ///< Results that were not freed end by themselves after seconds.
 constexpr Milliseconds freeDelay{15}; ///< Collects handles into one call; short against a batch call.
 constexpr Milliseconds sweepInterval{50}; ///< For pieces that wait for a near target, for a refusal's end or past their deadline.
-constexpr Milliseconds refusalHold{60}; ///< After a target has refused a call: part of a call's time.
+constexpr Milliseconds refusalHold{120}; ///< After a target has refused a call: half of a call's time.
 constexpr Milliseconds foreignTime{800}; ///< For which results of others are thought to lie at a target: two stages and an answer.
 constexpr Milliseconds callSlack{400}; ///< On top of twice the expected time, before a call counts as lost.
 constexpr unsigned mostTries = 4; ///< Calls that one piece may be in; beyond that its request has missed its objective.
@@ -407,10 +407,10 @@
             break;
         case StageCodec::Made::End::NoRoom:
             noRoom = true;
-            requeue(name, std::move(entry));
+            requeue(name, std::move(entry), true);
             break;
         case StageCodec::Made::End::Failed:
-            requeue(name, std::move(entry));
+            requeue(name, std::move(entry), m_parts.budget.take(name, now));
             break;
         }
     }
@@ -435,18 +435,21 @@
                   {"first_request", worker.inFlight.empty() ? "" : worker.inFlight.front().piece.requestId}});
     std::vector<BatchQueue::Entry> entries = std::move(worker.inFlight);
     worker.inFlight.clear();
+    // A call that the target refused was no try; the target is left alone for a while. Other repeats come out of the budget.
+    const bool refused = end == TargetReport::End::Refused;
+    const bool repeat = refused || m_parts.budget.take(name, now);
     for (BatchQueue::Entry &it : entries) {
-        requeue(name, std::move(it));
+        it.tries -= refused ? 1 : 0;
+        requeue(name, std::move(it), repeat);
     }
 }
 
-void BatchOwner::requeue(const std::string &name, BatchQueue::Entry entry)
+void BatchOwner::requeue(const std::string &name, BatchQueue::Entry entry, bool repeat)
 {
-    const Clock::TimePoint now = m_parts.clock.now();
     if (entry.origin.empty()) {
         return;
     }
-    if (entry.tries >= mostTries || !m_parts.budget.take(name, now)) {
+    if (entry.tries >= mostTries || !repeat) {
         give(entry.origin, {entry.piece.number, PieceResult::End::Failed, {}, {}});
         return;
     }
--- a/Source/Batching/BatchOwner.h
+++ b/Source/Batching/BatchOwner.h
@@ -90,7 +90,7 @@
                  const std::vector<StageCodec::Made> &made, Clock::TimePoint start);
     void answered(const std::string &name, BatchWorker &worker, const std::string &body, const BatchTerms &terms, Clock::TimePoint start);
     void failed(const std::string &name, BatchWorker &worker, TargetReport::End end);
-    void requeue(const std::string &name, BatchQueue::Entry entry);
+    void requeue(const std::string &name, BatchQueue::Entry entry, bool repeat);
     void give(const std::string &origin, PieceResult result);
     void giveAll();
     boost::asio::awaitable<void> freeLater(std::shared_ptr<BatchWorker> worker);
--- a/Tests/Site/SiteTest.cpp
+++ b/Tests/Site/SiteTest.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(slowTargetsAreNotGivenUpWithoutARepeatInHand);
     CPPUNIT_TEST(streamsGetTheirStagesAndFreeThem);
     CPPUNIT_TEST(piecesOfManyRequestsShareCalls);
+    CPPUNIT_TEST(busyStageTargetsCostNoRequest);
     CPPUNIT_TEST(brokenStreamsGoOnElsewhere);
     CPPUNIT_TEST(streamsThatMayNotGoOnDoNotLookWhole);
     CPPUNIT_TEST(takenKeysAndLeavingTargetsAreHeardOfThroughPeers);
@@ -189,6 +190,16 @@
         CPPUNIT_ASSERT(fleet.target("stage-1").largestBatch() <= 8 && fleet.target("stage-2").largestBatch() <= 8);
     }
 
+    /// As after a restart of all daemons, while targets still work on what the dead ones had sent.
+    void busyStageTargetsCostNoRequest()
+    {
+        SiteFleet fleet(1);
+        fleet.start();
+        fleet.target("stage-1").setFault(Fault::Refuse, 5);
+        fleet.target("stage-2").setFault(Fault::Refuse, 5);
+        CPPUNIT_ASSERT_EQUAL(200U, fleet.ask(0, staged("p1")).status);
+    }
+
     void brokenStreamsGoOnElsewhere()
     {
         SiteFleet fleet(1);
