--- a/Fakes/FakeFleetTarget.cpp
+++ b/Fakes/FakeFleetTarget.cpp
@@ -139,11 +139,7 @@
         co_return co_await batch(socket, request);
     }
     if (request.target() == "/stage-free") {
-        const Json::value body = Json::parse(request.body());
-        const std::scoped_lock lock(m_mutex);
-        for (const Json::value &it : body.at("handle_list").as_array()) {
-            m_results.erase(std::string(it.as_string()));
-        }
+        free(request);
         co_return co_await FakeServer::send(socket, FakeServer::json(200, "{}"));
     }
     const Fault fault = takeFault();
@@ -162,6 +158,15 @@
     co_return co_await answer(socket, request, fault);
 }
 
+void FakeFleetTarget::free(const FakeServer::Request &request)
+{
+    const Json::value body = Json::parse(request.body());
+    const std::scoped_lock lock(m_mutex);
+    for (const Json::value &it : body.at("handle_list").as_array()) {
+        m_results.erase(std::string(it.as_string()));
+    }
+}
+
 Asio::awaitable<bool> FakeFleetTarget::answer(FakeServer::Socket &socket, const FakeServer::Request &request, Fault fault)
 {
     co_await work();
--- a/Fakes/FakeFleetTarget.h
+++ b/Fakes/FakeFleetTarget.h
@@ -57,6 +57,7 @@
 private:
     boost::asio::awaitable<bool> handle(FakeServer::Socket &socket, FakeServer::Request request);
     boost::asio::awaitable<bool> batch(FakeServer::Socket &socket, const FakeServer::Request &request);
+    void free(const FakeServer::Request &request);
     boost::asio::awaitable<bool> answer(FakeServer::Socket &socket, const FakeServer::Request &request, Fault fault);
     boost::asio::awaitable<bool> stream(FakeServer::Socket &socket, const FakeServer::Request &request, Fault fault);
     boost::asio::awaitable<void> work();
