Remove what nothing uses; do not blame targets for closing idle connections

Cause: fields decoded for no one, three functions without callers; a reused connection that a target had closed made it count as broken and cold.

--- a/Source/Fleet/BatchTerms.h
+++ b/Source/Fleet/BatchTerms.h
@@ -9,8 +9,6 @@
 
 /// What one target of a stage service takes.
 struct BatchTerms {
-    std::size_t concurrentCalls = 1;
-    std::size_t queuedCalls = 0;
     std::size_t batchLimit = 1; ///< Pieces in one call.
     std::chrono::microseconds callTime{0}; ///< Of a call, whatever it carries.
     std::chrono::microseconds pieceTime{0}; ///< Of each piece, on average over stages.
--- a/Source/Fleet/Catalogue.cpp
+++ b/Source/Fleet/Catalogue.cpp
@@ -86,9 +86,4 @@
     return route.services.back().first;
 }
 
-const std::vector<ServiceRecord> &Catalogue::services() const
-{
-    return m_content.services;
-}
-
 } // namespace Guavalock
--- a/Source/Fleet/Catalogue.h
+++ b/Source/Fleet/Catalogue.h
@@ -45,8 +45,6 @@
     /// Picks one of a route's services by weight; the same request id gets the same service.
     const std::string &serviceFor(const RouteRecord &route, const std::string &requestId) const;
 
-    const std::vector<ServiceRecord> &services() const;
-
 private:
     Content m_content;
     std::map<std::string, std::vector<const RouteRecord *>, std::less<>> m_byHost; ///< Longest prefix first.
--- a/Source/Fleet/ServiceRecord.h
+++ b/Source/Fleet/ServiceRecord.h
@@ -12,8 +12,6 @@
 /// A group of targets that can stand in for one another.
 struct ServiceRecord {
     std::string name;
-    std::string healthPath;
-    std::size_t maxConnections = 0; ///< To one target, from all daemons together.
     std::chrono::milliseconds coldTime{0};
     double coldRate = 0; ///< Requests a second that a cold target bears; zero when cold targets bear their full load.
     std::optional<BatchTerms> batch; ///< Set for services that run stages.
--- a/Source/Mesh/Roster.cpp
+++ b/Source/Mesh/Roster.cpp
@@ -125,14 +125,4 @@
     return it != m_members.end() && present(it->second, now);
 }
 
-std::vector<MemberRecord> Roster::known() const
-{
-    const std::scoped_lock lock(m_mutex);
-    std::vector<MemberRecord> found;
-    for (const auto &[vm, member] : m_members) {
-        found.push_back(member.record);
-    }
-    return found;
-}
-
 } // namespace Guavalock
--- a/Source/Mesh/Roster.h
+++ b/Source/Mesh/Roster.h
@@ -50,8 +50,6 @@
     /// This daemon takes no new work if another can.
     void startDraining();
 
-    std::vector<MemberRecord> known() const;
-
 private:
     struct Member {
         MemberRecord record;
--- a/Source/Net/HttpCaller.cpp
+++ b/Source/Net/HttpCaller.cpp
@@ -59,13 +59,6 @@
     return m_failure;
 }
 
-void HttpCaller::close()
-{
-    if (m_connection) {
-        m_connection->close();
-    }
-}
-
 Asio::awaitable<bool> HttpCaller::connected()
 {
     if (m_connection->socket().is_open()) {
--- a/Source/Net/HttpCaller.h
+++ b/Source/Net/HttpCaller.h
@@ -54,9 +54,6 @@
 
     Failure failure() const;
 
-    /// Closes the connection, which ends a call in progress.
-    void close();
-
 private:
     boost::asio::awaitable<bool> connected();
     boost::asio::awaitable<std::optional<Answer>> exchange(const Request &request);
--- a/Source/Relay/RelayAttempt.cpp
+++ b/Source/Relay/RelayAttempt.cpp
@@ -56,7 +56,8 @@
     if (m_silent) {
         return ended(AttemptOutcome::End::Silent, TargetReport::End::Late);
     }
-    return ended(AttemptOutcome::End::Broken, TargetReport::End::Broken);
+    // A target may close an idle connection at any time; that says nothing of the target.
+    return ended(AttemptOutcome::End::Broken, m_exchange.reused() ? TargetReport::End::Cancelled : TargetReport::End::Broken);
 }
 
 std::string RelayAttempt::requestText() const
