--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -254,7 +254,9 @@
     if (otherTargetWorthwhile(*target)) {
         silence = silenceLimit(*target);
     }
-    const auto mayGiveUp = [this] { return m_parts.budget.take(m_service->name, m_parts.clock.now()); };
+    const auto mayGiveUp = [this] {
+        return m_parts.budget.take(m_service->name, m_parts.clock.now());
+    };
     RelayAttempt attempt(m_parts, {m_request, *m_route, *target, sendTerms(*target), silence, mayGiveUp}, m_progress, m_sink,
                          m_cancellation);
     attempt.onBegun([this, &target] {
