--- a/Source/Batching/BatchOwner.cpp
+++ b/Source/Batching/BatchOwner.cpp
@@ -350,9 +350,6 @@
 void BatchOwner::logCall(const std::string &name, const BatchWorker &worker, const std::vector<BatchQueue::Entry> &entries,
                          const std::vector<StageCodec::Made> &made, Clock::TimePoint start)
 {
-    const auto milliseconds = [](Clock::Duration it) {
-        return std::to_string(std::chrono::duration_cast<Milliseconds>(it).count());
-    };
     const auto count = [&](StageCodec::Made::End end) {
         return std::to_string(std::ranges::count(made, end, &StageCodec::Made::end));
     };
--- a/Source/Fleet/TargetRecord.h
+++ b/Source/Fleet/TargetRecord.h
@@ -15,7 +15,6 @@
     std::string service;
     Endpoint address;
     std::string dataCentre;
-    std::size_t slots = 0;
     bool draining = false;
     std::chrono::milliseconds coldRemaining{0}; ///< When the record was written.
     std::chrono::milliseconds born{0}; ///< Time of day of its start, since 1970; tells two lives with one id apart.
