Keep idle connections to targets within each daemon's share; say when to come back

Every finished exchange gave its connection back to the table of idle ones, also those of streams and of requests that may not repeat, which never take one from it. 74 daemons so filled the 110 connections that a target accepts, and it reset new ones after the request had been sent. Also: a daemon without a configuration refused without a time to come back, which the replaced refusal lost.

Ruled out: targets that fail by themselves (no arrival at them), the connect timeout (ends after 2 to 6 ms).

Change: only what may be repeated leaves idle connections, at most half of the service's stated bound divided by the live daemons. The time to come back is set after the refusal.

--- a/Fakes/FakeFleetTarget.cpp
+++ b/Fakes/FakeFleetTarget.cpp
@@ -87,6 +87,11 @@
     return m_arrivals;
 }
 
+std::size_t FakeFleetTarget::connections() const
+{
+    return m_server.connections();
+}
+
 std::string FakeFleetTarget::lastHeaders() const
 {
     const std::scoped_lock lock(m_mutex);
--- a/Fakes/FakeFleetTarget.h
+++ b/Fakes/FakeFleetTarget.h
@@ -51,6 +51,9 @@
     /// Returns how many arrivals there were.
     std::size_t arrivals() const;
 
+    /// Returns how many connections are open here.
+    std::size_t connections() const;
+
     /// Returns the headers of the last request as text.
     std::string lastHeaders() const;
 
--- a/Fakes/FakeServer.cpp
+++ b/Fakes/FakeServer.cpp
@@ -48,6 +48,11 @@
     return m_strand;
 }
 
+std::size_t FakeServer::connections() const
+{
+    return m_connections;
+}
+
 Asio::awaitable<void> FakeServer::accept()
 {
     for (;;) {
@@ -65,6 +70,7 @@
 Asio::awaitable<void> FakeServer::serve(std::shared_ptr<Socket> socket)
 {
     m_open.insert(socket);
+    m_connections = m_open.size();
     boost::beast::flat_buffer buffer;
     for (;;) {
         Http::request_parser<Http::string_body> parser;
@@ -81,6 +87,7 @@
     boost::system::error_code ignored;
     socket->close(ignored);
     m_open.erase(socket);
+    m_connections = m_open.size();
 }
 
 Asio::awaitable<bool> FakeServer::send(Socket &socket, Response response)
--- a/Fakes/FakeServer.h
+++ b/Fakes/FakeServer.h
@@ -6,6 +6,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -35,6 +36,9 @@
 
     const boost::asio::any_io_executor &strand() const;
 
+    /// Returns how many connections are open. Callable from any thread.
+    std::size_t connections() const;
+
     static boost::asio::awaitable<bool> send(Socket &socket, Response response);
     static Response json(unsigned status, std::string body);
 
@@ -50,6 +54,7 @@
     Handler m_handler;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::set<std::shared_ptr<Socket>> m_open;
+    std::atomic<std::size_t> m_connections{0};
 };
 
 } // namespace Guavalock
--- a/Source/Relay/RelayAttempt.cpp
+++ b/Source/Relay/RelayAttempt.cpp
@@ -79,7 +79,7 @@
     AttemptOutcome outcome = co_await exchange();
     if (outcome.end == AttemptOutcome::End::Answered || outcome.end == AttemptOutcome::End::Delivered
         || outcome.end == AttemptOutcome::End::NotRun) {
-        m_exchange.finish();
+        m_exchange.finish(m_terms.mostIdle);
     } else {
         m_exchange.close();
     }
--- a/Source/Relay/RelayAttempt.h
+++ b/Source/Relay/RelayAttempt.h
@@ -31,6 +31,7 @@
         const RouteRecord &route;
         TargetPick target;
         SendTerms send;
+        std::size_t mostIdle; ///< Connections that may be kept to the target.
         std::optional<std::chrono::milliseconds> silenceLimit; ///< To the answer's first byte; none when waiting is all that is left.
         std::function<bool()> mayGiveUp; ///< Asked when that time has passed; the attempt goes on when it returns false.
     };
--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -4,6 +4,7 @@
 #include "Decisions/Hash.h"
 #include "Fleet/Catalogue.h"
 #include "Fleet/CatalogueTable.h"
+#include "Fleet/ConnectionShare.h"
 #include "Fleet/FleetTable.h"
 #include "Fleet/RepeatBudget.h"
 #include "Flow/DeadlineTimer.h"
@@ -66,8 +67,9 @@
 bool RelayJob::admit()
 {
     if (!m_catalogue) {
+        refuseLater(ResultCode::NotConfigured, RunState::No, "no configuration is known yet");
         m_refusal.retryAfter = comeBackSoon;
-        return refuseLater(ResultCode::NotConfigured, RunState::No, "no configuration is known yet");
+        return false;
     }
     m_route = m_catalogue->route(m_request.host, m_request.path());
     if (m_route == nullptr) {
@@ -257,7 +259,9 @@
     const auto mayGiveUp = [this] {
         return m_parts.budget.take(m_service->name, m_parts.clock.now());
     };
-    RelayAttempt attempt(m_parts, {m_request, *m_route, *target, sendTerms(*target), silence, mayGiveUp}, m_progress, m_sink,
+    // Only what may be repeated takes idle connections, so nothing else leaves any.
+    const std::size_t mostIdle = m_route->rule == RunRule::Idempotent ? m_parts.connectionShare.idle(m_service->connectionLimit) : 0;
+    RelayAttempt attempt(m_parts, {m_request, *m_route, *target, sendTerms(*target), mostIdle, silence, mayGiveUp}, m_progress, m_sink,
                          m_cancellation);
     attempt.onBegun([this, &target] {
         m_parts.fleet.began(target->id, m_request.promptTokens);
--- a/Source/Relay/RelayParts.h
+++ b/Source/Relay/RelayParts.h
@@ -5,6 +5,7 @@
 
 class CatalogueTable;
 class Clock;
+class ConnectionShare;
 class ConnectionTable;
 class FleetTable;
 class Metrics;
@@ -19,6 +20,7 @@
     CatalogueTable &catalogue;
     FleetTable &fleet;
     ConnectionTable &connections;
+    const ConnectionShare &connectionShare;
     RepeatBudget &budget;
     PieceRouter &pieces;
     StageTimes &times;
--- a/Source/Relay/UpstreamExchange.cpp
+++ b/Source/Relay/UpstreamExchange.cpp
@@ -88,14 +88,14 @@
     co_return m_parser->is_done() ? Progress::End : Progress::More;
 }
 
-void UpstreamExchange::finish()
+void UpstreamExchange::finish(std::size_t mostIdle)
 {
     const bool complete = m_sending && m_sending->done && m_parser && m_parser->is_done() && m_parser->keep_alive();
     if (!complete || m_closed || !m_connection->reusable()) {
         close();
         return;
     }
-    m_connections.giveBack(std::move(m_connection));
+    m_connections.giveBack(std::move(m_connection), mostIdle);
     m_connection = nullptr;
 }
 
--- a/Source/Relay/UpstreamExchange.h
+++ b/Source/Relay/UpstreamExchange.h
@@ -48,8 +48,8 @@
     /// Appends body bytes that have arrived; returns whether more are to come.
     boost::asio::awaitable<Progress> read(std::string &data);
 
-    /// Keeps the connection for another request if the answer is complete and nothing else was sent; closes it otherwise.
-    void finish();
+    /// Keeps the connection for another request if the answer is complete, nothing else was sent and few are idle; closes it otherwise.
+    void finish(std::size_t mostIdle);
 
     /// Ends every wait. The target drops the request when its connection closes.
     void close();
--- a/Source/Site/SiteDaemon.cpp
+++ b/Source/Site/SiteDaemon.cpp
@@ -7,6 +7,7 @@
 #include "Decisions/Hash.h"
 #include "Fleet/Catalogue.h"
 #include "Fleet/CatalogueTable.h"
+#include "Fleet/ConnectionShare.h"
 #include "Fleet/FleetFollower.h"
 #include "Fleet/FleetTable.h"
 #include "Fleet/RecordCodec.h"
@@ -64,6 +65,7 @@
     , m_catalogue(std::make_unique<CatalogueTable>())
     , m_fleet(std::make_unique<FleetTable>(m_settings.self.vm))
     , m_connections(std::make_unique<ConnectionTable>(m_pool->executor()))
+    , m_connectionShare(std::make_unique<ConnectionShare>())
     , m_budget(std::make_unique<RepeatBudget>(m_settings.repeats))
     , m_mirror(std::make_unique<RecordMirror>())
     , m_roster(std::make_unique<Roster>(withIncarnation(m_settings.self)))
@@ -79,8 +81,8 @@
                                              }))
     , m_pieces(std::make_unique<PieceRouter>(m_clock, *m_roster, *m_mesh, *m_batches))
     , m_times(std::make_unique<StageTimes>())
-    , m_parts(
-          new RelayParts{m_clock, *m_catalogue, *m_fleet, *m_connections, *m_budget, *m_pieces, *m_times, m_site.relayCodec(), *m_metrics})
+    , m_parts(new RelayParts{m_clock, *m_catalogue, *m_fleet, *m_connections, *m_connectionShare, *m_budget, *m_pieces, *m_times,
+                             m_site.relayCodec(), *m_metrics})
     , m_callers(std::make_unique<RelayFrontEnd>(*m_parts, m_pool->executor(), m_settings.callers))
     , m_readiness(std::make_unique<StatusServer>(m_pool->executor(), m_settings.readiness, [this](const std::string &path) {
         if (path != m_site.relayCodec().readinessPath()) {
@@ -192,6 +194,7 @@
             names.push_back(it.vm);
         }
         m_budget->setMembers(names.size());
+        m_connectionShare->setMembers(names.size());
         m_fleet->setColdSenders(now < settled ? std::vector<std::string>() : std::move(names));
         timer.expires_after(memberInterval);
         co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
--- a/Source/Site/SiteDaemon.h
+++ b/Source/Site/SiteDaemon.h
@@ -12,6 +12,7 @@
 {
 
 class BatchOwner;
+class ConnectionShare;
 class FleetFollower;
 class PieceRouter;
 class RecordMirror;
@@ -57,6 +58,7 @@
     std::unique_ptr<CatalogueTable> m_catalogue;
     std::unique_ptr<FleetTable> m_fleet;
     std::unique_ptr<ConnectionTable> m_connections;
+    std::unique_ptr<ConnectionShare> m_connectionShare;
     std::unique_ptr<RepeatBudget> m_budget;
     std::unique_ptr<RecordMirror> m_mirror;
     std::unique_ptr<Roster> m_roster;
--- a/Source/Targets/ConnectionTable.cpp
+++ b/Source/Targets/ConnectionTable.cpp
@@ -3,6 +3,8 @@
 #include "Net/Connection.h"
 #include "Settings/Endpoint.h"
 
+#include <algorithm>
+
 namespace Guavalock
 {
 
@@ -35,12 +37,12 @@
     return std::make_unique<Connection>(m_executor, endpoint);
 }
 
-void ConnectionTable::giveBack(std::unique_ptr<Connection> connection)
+void ConnectionTable::giveBack(std::unique_ptr<Connection> connection, std::size_t mostIdle)
 {
     const std::string key = connection->endpoint().text();
     const std::scoped_lock lock(m_mutex);
     Idle &idle = m_idle[key];
-    if (idle.size() < maxIdle) {
+    if (idle.size() < std::min(mostIdle, maxIdle)) {
         idle.push_back(std::move(connection));
     }
 }
--- a/Source/Targets/ConnectionTable.h
+++ b/Source/Targets/ConnectionTable.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <string>
@@ -19,6 +20,8 @@
 class ConnectionTable
 {
 public:
+    static constexpr std::size_t maxIdle = 256; ///< For each target.
+
     explicit ConnectionTable(boost::asio::any_io_executor executor);
     ~ConnectionTable();
 
@@ -28,15 +31,13 @@
     /// Returns a new connection, not yet connected.
     std::unique_ptr<Connection> create(const Endpoint &endpoint) const;
 
-    /// Keeps a connection whose last answer was read to its end.
-    void giveBack(std::unique_ptr<Connection> connection);
+    /// Keeps a connection whose last answer was read to its end, unless as many as allowed are idle to its target.
+    void giveBack(std::unique_ptr<Connection> connection, std::size_t mostIdle = maxIdle);
 
     /// Closes every idle connection to a target.
     void drop(const Endpoint &endpoint);
 
 private:
-    static constexpr std::size_t maxIdle = 256; ///< For each target.
-
     using Idle = std::vector<std::unique_ptr<Connection>>;
 
     boost::asio::any_io_executor m_executor;
--- a/Tests/Fleet/FleetTest.cpp
+++ b/Tests/Fleet/FleetTest.cpp
@@ -1,5 +1,6 @@
 #include "Fleet/Catalogue.h"
 #include "Fleet/ColdSenders.h"
+#include "Fleet/ConnectionShare.h"
 #include "Fleet/FleetTable.h"
 #include "Fleet/RecordMirror.h"
 #include "Fleet/RepeatBudget.h"
@@ -27,6 +28,7 @@
     CPPUNIT_TEST(requestsThatShareAPromptGoToOneTarget);
     CPPUNIT_TEST(warmRecordsDoNotEndDoubtEarly);
     CPPUNIT_TEST(repeatsOfAllDaemonsStayWithinTheBudget);
+    CPPUNIT_TEST(idleConnectionsOfAllDaemonsLeaveRoom);
     CPPUNIT_TEST_SUITE_END();
 
     using Milliseconds = std::chrono::milliseconds;
@@ -282,6 +284,20 @@
         CPPUNIT_ASSERT(repeats <= 0.2 * 300 + 52);
         CPPUNIT_ASSERT(repeats >= 0.2 * 300);
     }
+
+    void idleConnectionsOfAllDaemonsLeaveRoom()
+    {
+        ConnectionShare share;
+        for (const std::size_t members : {1U, 6U, 8U, 61U, 74U, 330U}) {
+            share.setMembers(members);
+            for (const std::size_t accepted : {6U, 51U, 96U, 110U, 430U}) {
+                CPPUNIT_ASSERT(share.idle(accepted) * members <= accepted / 2);
+            }
+        }
+        share.setMembers(8);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), share.idle(51));
+        CPPUNIT_ASSERT(share.idle(0) > 1'000);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetTest);
--- a/Tests/Site/SiteFleet.cpp
+++ b/Tests/Site/SiteFleet.cpp
@@ -87,7 +87,7 @@
         {"name":"stream","hostname":"h","path_prefix":"/stream/","type":"streaming","timeout_ms":4000,"target_latency_ms":1000,"service":"model","max_attempts":1,
          "session_affinity":true,"phases":[{"service":"stage","after":[],"byte_count":100},{"service":"stage","after":[0],"byte_count":100}]},
         {"name":"resume","hostname":"h","path_prefix":"/streamed/","type":"streaming","timeout_ms":4000,"target_latency_ms":1000,"service":"model","max_attempts":2,"resumable":true}],
-        "services":[{"name":"plain"},{"name":"model"},{"name":"stage","fragments":{"capacity":1,"queue":2,"batch":8,"call_ms":30,"item_ms":1,"headroom_mb":1,"handle_s":4}}],
+        "services":[{"name":"plain","max_connections":8},{"name":"model"},{"name":"stage","fragments":{"capacity":1,"queue":2,"batch":8,"call_ms":30,"item_ms":1,"headroom_mb":1,"handle_s":4}}],
         "tenants":[{"name":"mill","api_keys":[)"
         + keys + "]}]}";
     m_store->put("keyed.op", "config", text);
--- a/Tests/Site/SiteTest.cpp
+++ b/Tests/Site/SiteTest.cpp
@@ -4,6 +4,7 @@
 
 #include <future>
 #include <numeric>
+#include <thread>
 
 namespace Guavalock
 {
@@ -17,6 +18,8 @@
     CPPUNIT_TEST(whatMayNotRepeatRunsAtMostOnce);
     CPPUNIT_TEST(refusalsByTargetsAreTriedElsewhere);
     CPPUNIT_TEST(slowTargetsAreNotGivenUpWithoutARepeatInHand);
+    CPPUNIT_TEST(idleConnectionsLeaveRoomForOthers);
+    CPPUNIT_TEST(refusalsWithoutAConfigurationSayWhenToComeBack);
     CPPUNIT_TEST(streamsGetTheirStagesAndFreeThem);
     CPPUNIT_TEST(piecesOfManyRequestsShareCalls);
     CPPUNIT_TEST(busyStageTargetsCostNoRequest);
@@ -159,6 +162,38 @@
         }
     }
 
+    /// The targets accept 8 connections from two daemons.
+    void idleConnectionsLeaveRoomForOthers()
+    {
+        SiteFleet fleet(2);
+        fleet.start();
+        fleet.target("plain-1").setWork(std::chrono::milliseconds(100));
+        fleet.target("plain-2").setWork(std::chrono::milliseconds(100));
+        std::this_thread::sleep_for(std::chrono::seconds(1)); // The daemons have found each other.
+        for (const std::string path : {"/safe/x", "/once/x"}) {
+            std::vector<std::future<SiteFleet::Answer>> answers;
+            for (int it = 0; it < 12; ++it) {
+                const SiteFleet::Ask sent = ask(path, "q" + path + std::to_string(it));
+                answers.push_back(std::async(std::launch::async, [&fleet, sent] { return fleet.ask(0, sent); }));
+            }
+            for (auto &it : answers) {
+                CPPUNIT_ASSERT_EQUAL(200U, it.get().status);
+            }
+            for (const std::string name : {"plain-1", "plain-2"}) {
+                CPPUNIT_ASSERT(SiteFleet::await([&] { return fleet.target(name).connections() <= 2; }));
+            }
+        }
+    }
+
+    void refusalsWithoutAConfigurationSayWhenToComeBack()
+    {
+        SiteFleet fleet(1);
+        fleet.startDaemon(0);
+        const SiteFleet::Answer answer = fleet.ask(0, ask("/safe/x", "r1"));
+        CPPUNIT_ASSERT_EQUAL(503U, answer.status);
+        CPPUNIT_ASSERT(!answer.retryAfter.empty());
+    }
+
     void streamsGetTheirStagesAndFreeThem()
     {
         SiteFleet fleet(2);
