Judge the room that a stage target lacked by the start of its call

When a target reported that a piece found no room, the owner took all room that it thought left at the end of the call for foreign results; but the target had judged at the call's start, and 6 of 15 results had been freed since. 8 to 10 MB of 23 MB were written off at each target for as long as the burst lasted.

Ruled out: slow targets (calls took 285 ms as stated), the batching owner's processor, waiting for near targets.

Change: what a target lacked is what was thought to be left when the call began, less what the call made.

Test: BatchingTest::roomFreedDuringACallIsNotTakenForForeign, failing with the old accounting put back.

--- a/Source/Batching/BatchOwner.cpp
+++ b/Source/Batching/BatchOwner.cpp
@@ -36,7 +36,6 @@
 constexpr Milliseconds freeDelay{15}; ///< Collects handles into one call; short against a batch call.
 constexpr Milliseconds sweepInterval{50}; ///< For pieces that wait for a near target, for a refusal's end or past their deadline.
 constexpr Milliseconds refusalHold{120}; ///< After a target has refused a call: half of a call's time.
-constexpr Milliseconds foreignTime{800}; ///< For which results of others are thought to lie at a target: two stages and an answer.
 constexpr Milliseconds callSlack{400}; ///< On top of twice the expected time, before a call counts as lost.
 constexpr unsigned mostTries = 4; ///< Calls that one piece may be in; beyond that its request has missed its objective.
 constexpr double batchWeight = 0.1; ///< Of one call in the running batch size: about two calls of each target.
@@ -264,7 +263,7 @@
             continue;
         }
         std::vector<BatchQueue::Entry> entries
-            = service.queue.take(terms, worker->room.left(terms.roomBytes, now), worker->target.dataCentre, now);
+            = service.queue.take(terms, worker->roomForCall(terms.roomBytes, now), worker->target.dataCentre, now);
         if (!entries.empty()) {
             const double full = static_cast<double>(service.queue.empty() ? terms.batchLimit : entries.size());
             service.batch = service.batch == 0 ? full : service.batch + batchWeight * (full - service.batch);
@@ -381,6 +380,7 @@
     const Clock::TimePoint now = m_parts.clock.now();
     std::vector<std::string> unwanted;
     bool noRoom = false;
+    std::uint64_t madeBytes = 0;
     std::vector<BatchQueue::Entry> entries = std::move(worker.inFlight);
     worker.inFlight.clear();
     logCall(name, worker, entries, *made, start);
@@ -390,6 +390,7 @@
         switch (result.end) {
         case StageCodec::Made::End::Made:
             worker.room.add(result.handle, entry.piece.resultBytes, now + terms.resultLife);
+            madeBytes += entry.piece.resultBytes;
             if (entry.origin.empty()) {
                 unwanted.push_back(result.handle);
             } else {
@@ -412,7 +413,7 @@
         }
     }
     if (noRoom) {
-        worker.room.full(terms.roomBytes, now, now + foreignTime);
+        worker.lackedRoom(madeBytes, now);
     }
     m_parts.fleet.ended(worker.target.id, {TargetReport::End::Answered, {}, std::nullopt}, terms.callTime, now);
     free(unwanted);
--- a/Source/Batching/BatchWorker.cpp
+++ b/Source/Batching/BatchWorker.cpp
@@ -15,6 +15,7 @@
 
 constexpr double callWeight = 0.5; ///< Of one call in the running slowness: two calls tell whether a target is slow.
 constexpr double mostSlowness = 20;
+constexpr std::chrono::milliseconds foreignTime{800}; ///< For unknown results at a target: two stages and an answer.
 constexpr std::chrono::seconds steadyTime{2}; ///< What other daemons had sent before has ended by then.
 constexpr double steadySlowness = 2.0; ///< A longer call has waited behind another daemon's.
 constexpr Seconds slownessMemory{3}; ///< A slow target is tried again within a few seconds.
@@ -38,6 +39,17 @@
     return now - m_lastCall < steadyTime && m_slowness < steadySlowness;
 }
 
+std::uint64_t BatchWorker::roomForCall(std::uint64_t total, Clock::TimePoint now)
+{
+    m_roomAtStart = room.left(total, now);
+    return m_roomAtStart;
+}
+
+void BatchWorker::lackedRoom(std::uint64_t madeBytes, Clock::TimePoint now)
+{
+    room.lacked(m_roomAtStart - std::min(m_roomAtStart, madeBytes), now, now + foreignTime);
+}
+
 void BatchWorker::callEnded(Clock::Duration took, Clock::Duration expected, Clock::TimePoint now)
 {
     const double ratio = std::clamp(Seconds(took) / Seconds(expected), 1.0, mostSlowness);
--- a/Source/Batching/BatchWorker.h
+++ b/Source/Batching/BatchWorker.h
@@ -27,6 +27,12 @@
     /// Returns whether the target's last call ended a moment ago and took its time, so that the next one begins when it arrives.
     bool steady(Clock::TimePoint now) const;
 
+    /// Returns the room that a call that begins now may fill, in bytes.
+    std::uint64_t roomForCall(std::uint64_t total, Clock::TimePoint now);
+
+    /// The target had no room for a part of the call, and made results of so many bytes. Other results take its room for a time.
+    void lackedRoom(std::uint64_t madeBytes, Clock::TimePoint now);
+
     void callEnded(Clock::Duration took, Clock::Duration expected, Clock::TimePoint now);
 
     TargetPick target;
@@ -41,6 +47,7 @@
     std::unique_ptr<HttpCaller> freeCaller;
 
 private:
+    std::uint64_t m_roomAtStart = 0; ///< When the call in progress began; the target judges its room then.
     double m_slowness = 1.0;
     Clock::TimePoint m_lastCall{};
 };
--- a/Source/Batching/ResultRoom.cpp
+++ b/Source/Batching/ResultRoom.cpp
@@ -33,9 +33,9 @@
     }
 }
 
-void ResultRoom::full(std::uint64_t room, Clock::TimePoint now, Clock::TimePoint until)
+void ResultRoom::lacked(std::uint64_t bytes, Clock::TimePoint now, Clock::TimePoint until)
 {
-    m_foreignBytes = (now < m_foreignUntil ? m_foreignBytes : 0) + left(room, now);
+    m_foreignBytes = (now < m_foreignUntil ? m_foreignBytes : 0) + bytes;
     m_foreignUntil = until;
 }
 
--- a/Source/Batching/ResultRoom.h
+++ b/Source/Batching/ResultRoom.h
@@ -19,10 +19,10 @@
     void add(const std::string &handle, std::uint64_t bytes, Clock::TimePoint until);
     void free(const std::string &handle);
 
-    /// The target had no room although some was thought to be left: results that other daemons asked for lie there.
+    /// The target had no room although some was thought to be left when its call began: other results lie there, or larger ones.
     ///
-    /// Until a time, only what is freed from now on counts as room.
-    void full(std::uint64_t room, Clock::TimePoint now, Clock::TimePoint until);
+    /// Until a time, that many bytes more count as taken.
+    void lacked(std::uint64_t bytes, Clock::TimePoint now, Clock::TimePoint until);
 
 private:
     struct Held {
@@ -32,7 +32,7 @@
 
     std::map<std::string, Held> m_held;
     std::uint64_t m_bytes = 0;
-    std::uint64_t m_foreignBytes = 0; ///< Of results that this daemon did not ask for, until m_foreignUntil.
+    std::uint64_t m_foreignBytes = 0; ///< Taken beyond what this daemon knows of, until m_foreignUntil.
     Clock::TimePoint m_foreignUntil;
 };
 
--- a/Tests/Batching/BatchingTest.cpp
+++ b/Tests/Batching/BatchingTest.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(cancelledAndLatePiecesAreNotSent);
     CPPUNIT_TEST(roomComesBackWhenFreedOrExpired);
     CPPUNIT_TEST(foreignResultsTakeRoom);
+    CPPUNIT_TEST(roomFreedDuringACallIsNotTakenForForeign);
     CPPUNIT_TEST(slowTargetsAreTriedAgainLater);
     CPPUNIT_TEST(timesOfAQuietServiceReturnToUsual);
     CPPUNIT_TEST_SUITE_END();
@@ -228,13 +229,28 @@
     {
         ResultRoom room;
         room.add("h1", 400, m_now + std::chrono::seconds(4));
-        room.full(1'000, m_now, m_now + Milliseconds(800));
+        room.lacked(600, m_now, m_now + Milliseconds(800));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), room.left(1'000, m_now));
         room.free("h1");
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(400), room.left(1'000, m_now));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1'000), room.left(1'000, m_now + Milliseconds(801)));
     }
 
+    /// The target judges its room when a call begins, and answers when it has ended.
+    void roomFreedDuringACallIsNotTakenForForeign()
+    {
+        BatchWorker worker({"t1", {"127.0.0.1", 1}, "north", "yard"});
+        const auto until = m_now + std::chrono::seconds(4);
+        worker.room.add("h1", 400, until);
+        worker.room.add("h2", 400, until);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(200), worker.roomForCall(1'000, m_now));
+        worker.room.free("h1");
+        worker.room.free("h2");
+        worker.room.add("h3", 150, until);
+        worker.lackedRoom(150, m_now + Milliseconds(300));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(800), worker.room.left(1'000, m_now + Milliseconds(300)));
+    }
+
     void slowTargetsAreTriedAgainLater()
     {
         BatchWorker worker({"t1", {"127.0.0.1", 1}, "north", "yard"});
