Free the results of requests that have ended

Cause: some handles were lost, and their room with them until the end of their life (4 s): results that arrive beside a late, refused or failed piece, those that have arrived when the caller leaves, and those on their way to a request when it ends. Results that nobody waits for were freed by the daemon that got them, so the owner went on counting their room. What an owner had made for a daemon whose link was down was dropped.

Change: every result goes into the plan before a stage run ends; what comes later goes back to the daemon that had it made. An owner keeps what it cannot deliver for 1.5 s, since broken links are dialled again, and frees it then.

Tests: StageRunTest, three cases, each failing with the old lines put back; SiteTest::resultsOfRequestsThatEndedAreFreed, which the old code passes as well.

--- a/Source/Batching/BatchOwner.cpp
+++ b/Source/Batching/BatchOwner.cpp
@@ -37,6 +37,7 @@
 constexpr Milliseconds sweepInterval{50}; ///< For pieces that wait for a near target, for a refusal's end or past their deadline.
 constexpr Milliseconds refusalHold{120}; ///< After a target has refused a call: half of a call's time.
 constexpr Milliseconds callSlack{400}; ///< On top of twice the expected time, before a call counts as lost.
+constexpr Milliseconds deliveryLimit{1'500}; ///< For results whose daemon cannot be reached; a broken link is dialled again within it.
 constexpr unsigned mostTries = 4; ///< Calls that one piece may be in; beyond that its request has missed its objective.
 constexpr double batchWeight = 0.1; ///< Of one call in the running batch size: about two calls of each target.
 constexpr double waitInCall = 0.1; ///< Until the next target is idle, in calls, when several are busy.
@@ -457,17 +458,38 @@
 void BatchOwner::give(const std::string &origin, PieceResult result)
 {
     if (!origin.empty()) {
-        m_results[origin].push_back(std::move(result));
+        const auto it = m_results.try_emplace(origin, Results{{}, m_parts.clock.now()}).first;
+        it->second.list.push_back(std::move(result));
     }
 }
 
 void BatchOwner::giveAll()
 {
-    auto results = std::move(m_results);
-    m_results.clear();
-    for (auto &[origin, list] : results) {
-        m_deliver(origin, std::move(list));
+    const Clock::TimePoint now = m_parts.clock.now();
+    for (auto it = m_results.begin(); it != m_results.end();) {
+        const auto &[origin, results] = *it;
+        const bool delivered = m_deliver(origin, results.list);
+        if (!delivered && now - results.since < deliveryLimit) {
+            ++it;
+            continue;
+        }
+        if (!delivered) {
+            discard(origin, results.list);
+        }
+        it = m_results.erase(it);
+    }
+}
+
+void BatchOwner::discard(const std::string &origin, const std::vector<PieceResult> &results)
+{
+    Log::warning("batching", "results-undelivered", {{"peer", origin}, {"results", std::to_string(results.size())}});
+    std::vector<std::string> handles;
+    for (const PieceResult &it : results) {
+        if (!it.handle.empty()) {
+            handles.push_back(it.handle);
+        }
     }
+    free(handles);
 }
 
 Asio::awaitable<void> BatchOwner::sweep()
--- a/Source/Batching/BatchOwner.h
+++ b/Source/Batching/BatchOwner.h
@@ -32,8 +32,8 @@
 class BatchOwner
 {
 public:
-    /// Takes results back to the daemon that asked.
-    using Deliver = std::function<void(const std::string &origin, std::vector<PieceResult>)>;
+    /// Takes results back to the daemon that asked. Returns false when it cannot be reached now.
+    using Deliver = std::function<bool(const std::string &origin, const std::vector<PieceResult> &)>;
 
     struct Parts {
         const Clock &clock;
@@ -63,6 +63,12 @@
 private:
     using Workers = std::map<std::string, std::shared_ptr<BatchWorker>>;
 
+    /// For one daemon.
+    struct Results {
+        std::vector<PieceResult> list;
+        Clock::TimePoint since; ///< The oldest.
+    };
+
     struct Service {
         BatchQueue queue;
         Workers workers; ///< By the target's id.
@@ -93,6 +99,7 @@
     void requeue(const std::string &name, BatchQueue::Entry entry, bool repeat);
     void give(const std::string &origin, PieceResult result);
     void giveAll();
+    void discard(const std::string &origin, const std::vector<PieceResult> &results);
     boost::asio::awaitable<void> freeLater(std::shared_ptr<BatchWorker> worker);
     boost::asio::awaitable<void> sweep();
 
@@ -100,7 +107,7 @@
     Parts m_parts;
     Deliver m_deliver;
     std::map<std::string, Service> m_services;
-    std::map<std::string, std::vector<PieceResult>> m_results; ///< To be delivered at the end of the current step, by daemon.
+    std::map<std::string, Results> m_results; ///< To be delivered at the end of the current step, by daemon.
     boost::asio::steady_timer m_sweepTimer;
     bool m_handingOver = false;
     bool m_stopped = false;
--- a/Source/Batching/PieceRouter.cpp
+++ b/Source/Batching/PieceRouter.cpp
@@ -72,7 +72,7 @@
     }
 }
 
-void PieceRouter::deliver(std::vector<PieceResult> results)
+void PieceRouter::deliver(const std::string &owner, std::vector<PieceResult> results)
 {
     std::map<std::shared_ptr<PieceWait>, std::vector<PieceResult>> byWait;
     std::vector<std::string> unwanted;
@@ -94,10 +94,10 @@
         }
     }
     for (auto &[wait, list] : byWait) {
-        wait->deliver(std::move(list));
+        wait->deliver(owner, std::move(list));
     }
     if (!unwanted.empty()) {
-        m_local.release(std::move(unwanted));
+        releaseAt(owner, std::move(unwanted));
     }
 }
 
@@ -126,12 +126,16 @@
 {
     const Clock::TimePoint now = m_clock.now();
     for (const auto &[service, list] : handles) {
-        const std::string owner = m_roster.owner(service, now);
-        if (owner == m_roster.self().vm) {
-            m_local.release(list);
-        } else {
-            m_transport.sendRelease(owner, list);
-        }
+        releaseAt(m_roster.owner(service, now), list);
+    }
+}
+
+void PieceRouter::releaseAt(const std::string &owner, std::vector<std::string> handles)
+{
+    if (owner == m_roster.self().vm) {
+        m_local.release(std::move(handles));
+    } else {
+        m_transport.sendRelease(owner, handles);
     }
 }
 
--- a/Source/Batching/PieceRouter.h
+++ b/Source/Batching/PieceRouter.h
@@ -31,8 +31,8 @@
     /// Sends again what waits at an owner that can no longer be expected to answer.
     void resubmitLost(const std::shared_ptr<PieceWait> &wait);
 
-    /// Hands results that have arrived to the requests that wait for them. Results that nobody waits for are freed.
-    void deliver(std::vector<PieceResult> results);
+    /// Hands results that a daemon had made to the requests that wait for them. Results that nobody waits for are freed.
+    void deliver(const std::string &owner, std::vector<PieceResult> results);
 
     /// The request waits no longer: its pieces are cancelled.
     void abandon(const std::shared_ptr<PieceWait> &wait, const std::string &requestId);
@@ -40,6 +40,9 @@
     /// Frees results, by the services that made them.
     void release(const std::map<std::string, std::vector<std::string>> &handles);
 
+    /// Frees results through the daemon that had them made.
+    void releaseAt(const std::string &owner, std::vector<std::string> handles);
+
 private:
     void send(const std::string &owner, const std::vector<Piece> &pieces);
 
--- a/Source/Batching/PieceTransport.h
+++ b/Source/Batching/PieceTransport.h
@@ -17,7 +17,7 @@
 
     /// Returns false when the daemon is not connected.
     virtual bool sendPieces(const std::string &vm, const std::vector<Piece> &pieces) = 0;
-    virtual void sendResults(const std::string &vm, const std::vector<PieceResult> &results) = 0;
+    virtual bool sendResults(const std::string &vm, const std::vector<PieceResult> &results) = 0;
     virtual void sendCancel(const std::string &vm, const std::string &requestId) = 0;
     virtual void sendRelease(const std::string &vm, const std::vector<std::string> &handles) = 0;
 };
--- a/Source/Batching/StageRun.cpp
+++ b/Source/Batching/StageRun.cpp
@@ -28,16 +28,30 @@
     , m_terms(std::move(terms))
     , m_cancellation(cancellation)
     , m_requestId(std::move(requestId))
-    , m_wait(std::make_shared<PieceWait>(cancellation))
+    , m_wait(std::make_shared<PieceWait>(cancellation, [&router](const std::string &owner, std::vector<std::string> handles) {
+        router.releaseAt(owner, std::move(handles));
+    }))
 {
 }
 
 StageRun::~StageRun()
 {
-    m_router.abandon(m_wait, m_requestId);
+    abandon();
     m_router.release(m_plan.allHandles());
 }
 
+void StageRun::abandon()
+{
+    m_router.abandon(m_wait, m_requestId);
+    StagePlan::Handles unused;
+    for (const PieceWait::Arrived &it : m_wait->takeArrived()) {
+        if (!it.result.handle.empty()) {
+            unused[it.piece.service].push_back(it.result.handle);
+        }
+    }
+    m_router.release(unused);
+}
+
 void StageRun::submitReady()
 {
     const Clock::TimePoint now = m_clock.now();
@@ -85,6 +99,22 @@
     return End::Failed;
 }
 
+StageRun::End StageRun::takeAll(const std::vector<PieceWait::Arrived> &results)
+{
+    // Also when the request ends here, every result goes into the plan, which frees it.
+    End end = m_cancellation.cause() ? End::Cancelled : End::Complete;
+    for (const PieceWait::Arrived &it : results) {
+        if (it.result.end == PieceResult::End::Made) {
+            m_times.observe(it.piece.service, m_clock.now() - it.sent, m_clock.now());
+        }
+        const End taken = take(it.piece, it.result);
+        if (end == End::Complete) {
+            end = taken;
+        }
+    }
+    return end;
+}
+
 Asio::awaitable<StageRun::End> StageRun::run()
 {
     while (!m_plan.complete()) {
@@ -94,17 +124,9 @@
             co_return End::Late;
         }
         const auto results = co_await m_wait->next(std::min(m_terms.deadline, now + ownerCheck));
-        if (m_cancellation.cause()) {
-            co_return End::Cancelled;
-        }
-        for (const PieceWait::Arrived &it : results) {
-            if (it.result.end == PieceResult::End::Made) {
-                m_times.observe(it.piece.service, m_clock.now() - it.sent, m_clock.now());
-            }
-            const End end = take(it.piece, it.result);
-            if (end != End::Complete) {
-                co_return end;
-            }
+        const End end = takeAll(results);
+        if (end != End::Complete) {
+            co_return end;
         }
         const StagePlan::Handles used = m_plan.takeUsed();
         if (!used.empty()) {
@@ -122,7 +144,7 @@
 
 void StageRun::restart()
 {
-    m_router.abandon(m_wait, m_requestId);
+    abandon();
     m_router.release(m_plan.restart());
 }
 
--- a/Source/Batching/StageRun.h
+++ b/Source/Batching/StageRun.h
@@ -51,6 +51,10 @@
 private:
     void submitReady();
     End take(const Piece &piece, const PieceResult &result);
+    End takeAll(const std::vector<PieceWait::Arrived> &results);
+
+    /// Stops waiting, and frees the results that have arrived meanwhile.
+    void abandon();
 
     PieceRouter &m_router;
     StageTimes &m_times;
--- a/Source/Mesh/MeshNetwork.cpp
+++ b/Source/Mesh/MeshNetwork.cpp
@@ -172,7 +172,9 @@
     handlers.pieces = [this, vm](std::vector<Piece> pieces) {
         m_events.pieces(*vm, std::move(pieces));
     };
-    handlers.results = m_events.results;
+    handlers.results = [this, vm](std::vector<PieceResult> results) {
+        m_events.results(*vm, std::move(results));
+    };
     handlers.cancel = [this, vm](const std::string &requestId) {
         m_events.cancel(*vm, requestId);
     };
@@ -230,9 +232,9 @@
     return send(vm, MeshCodec::pieces(pieces, m_clock.now()));
 }
 
-void MeshNetwork::sendResults(const std::string &vm, const std::vector<PieceResult> &results)
+bool MeshNetwork::sendResults(const std::string &vm, const std::vector<PieceResult> &results)
 {
-    send(vm, MeshCodec::results(results));
+    return send(vm, MeshCodec::results(results));
 }
 
 void MeshNetwork::sendCancel(const std::string &vm, const std::string &requestId)
--- a/Source/Mesh/MeshNetwork.h
+++ b/Source/Mesh/MeshNetwork.h
@@ -29,7 +29,7 @@
     /// What frames of other daemons lead to; each is told the sender's name.
     struct Events {
         std::function<void(const std::string &vm, std::vector<Piece>)> pieces;
-        std::function<void(std::vector<PieceResult>)> results;
+        std::function<void(const std::string &vm, std::vector<PieceResult>)> results;
         std::function<void(const std::string &vm, const std::string &requestId)> cancel;
         std::function<void(std::vector<std::string> handles)> release;
         std::function<void(const std::string &vm, Topic, std::uint64_t from)> recordsRequest;
@@ -51,7 +51,7 @@
     void stop();
 
     bool sendPieces(const std::string &vm, const std::vector<Piece> &pieces) override;
-    void sendResults(const std::string &vm, const std::vector<PieceResult> &results) override;
+    bool sendResults(const std::string &vm, const std::vector<PieceResult> &results) override;
     void sendCancel(const std::string &vm, const std::string &requestId) override;
     void sendRelease(const std::string &vm, const std::vector<std::string> &handles) override;
 
--- a/Source/Site/SiteDaemon.cpp
+++ b/Source/Site/SiteDaemon.cpp
@@ -72,12 +72,12 @@
     , m_mesh(std::make_unique<MeshNetwork>(m_pool->executor(), m_clock, *m_roster))
     , m_batches(std::make_unique<BatchOwner>(m_pool->executor(),
                                              BatchOwner::Parts{m_clock, *m_catalogue, *m_fleet, *m_budget, m_site.stageCodec(), *m_metrics},
-                                             [this](const std::string &origin, std::vector<PieceResult> results) {
-                                                 if (origin == m_roster->self().vm) {
-                                                     m_pieces->deliver(std::move(results));
-                                                 } else {
-                                                     m_mesh->sendResults(origin, results);
+                                             [this](const std::string &origin, const std::vector<PieceResult> &results) {
+                                                 if (origin != m_roster->self().vm) {
+                                                     return m_mesh->sendResults(origin, results);
                                                  }
+                                                 m_pieces->deliver(origin, results);
+                                                 return true;
                                              }))
     , m_pieces(std::make_unique<PieceRouter>(m_clock, *m_roster, *m_mesh, *m_batches))
     , m_times(std::make_unique<StageTimes>())
@@ -121,8 +121,8 @@
     events.pieces = [this](const std::string &vm, std::vector<Piece> pieces) {
         m_batches->submit(vm, std::move(pieces));
     };
-    events.results = [this](std::vector<PieceResult> results) {
-        m_pieces->deliver(std::move(results));
+    events.results = [this](const std::string &vm, std::vector<PieceResult> results) {
+        m_pieces->deliver(vm, std::move(results));
     };
     events.cancel = [this](const std::string &vm, const std::string &requestId) {
         m_batches->cancel(vm, requestId);
--- /dev/null
+++ b/Tests/Batching/StageRunTest.cpp
@@ -0,0 +1,174 @@
+#include "Batching/StageRun.h"
+#include "Batching/BatchOwner.h"
+#include "Batching/PieceRouter.h"
+#include "Batching/PieceTransport.h"
+#include "Batching/StageTimes.h"
+#include "Fleet/CatalogueTable.h"
+#include "Fleet/FleetTable.h"
+#include "Fleet/RepeatBudget.h"
+#include "Kernel/Metrics.h"
+#include "Kernel/Registry.h"
+#include "Kernel/SystemClock.h"
+#include "Mesh/Roster.h"
+#include "Site/Site.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <optional>
+
+namespace Guavalock
+{
+
+namespace Asio = boost::asio;
+
+/// The stages of one request, batched by another daemon.
+class StageRunTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(StageRunTest);
+    CPPUNIT_TEST(resultsBesideALatePieceAreFreed);
+    CPPUNIT_TEST(resultsOfACancelledRequestAreFreed);
+    CPPUNIT_TEST(resultsAfterTheEndGoBackToTheirOwner);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// Records what is sent to the owner.
+    class RecordingTransport : public PieceTransport
+    {
+    public:
+        bool sendPieces(const std::string &, const std::vector<Piece> &list) override
+        {
+            pieces.insert(pieces.end(), list.begin(), list.end());
+            return true;
+        }
+
+        bool sendResults(const std::string &, const std::vector<PieceResult> &) override
+        {
+            return true;
+        }
+
+        void sendCancel(const std::string &, const std::string &) override
+        {
+        }
+
+        void sendRelease(const std::string &vm, const std::vector<std::string> &handles) override
+        {
+            for (const std::string &it : handles) {
+                released[it] = vm;
+            }
+        }
+
+        std::vector<Piece> pieces;
+        std::map<std::string, std::string> released; ///< By handle, the daemon that was told.
+    };
+
+    static MemberRecord member(const std::string &vm, double share)
+    {
+        MemberRecord record;
+        record.vm = vm;
+        record.incarnation = vm;
+        record.processorShare = share;
+        return record;
+    }
+
+    /// A request with one stage of two pieces, asked of the daemon "owner".
+    struct Setting {
+        Setting()
+            : roster(member("self", 0.1))
+            , site(Registry<Site>::instance().create("platform"))
+            , fleet("self")
+            , budget({0.2, 10, std::chrono::seconds(10)})
+            , local(context.get_executor(), {clock, catalogue, fleet, budget, site->stageCodec(), metrics},
+                    [](const std::string &, const std::vector<PieceResult> &) { return true; })
+            , router(clock, roster, transport, local)
+            , cancellation(Asio::make_strand(context))
+        {
+            roster.learn(member("owner", 1.0));
+            roster.linked("owner", true);
+            roster.heard("owner", false, clock.now());
+            const Clock::TimePoint soon = clock.now() + std::chrono::seconds(5);
+            StagePlan plan({{"ledger", {}, 100}}, {2}, "r1", "key");
+            run.emplace(router, times, clock, std::move(plan), StageRun::Terms{1, soon, soon, "model"}, cancellation, "r1");
+            Asio::co_spawn(cancellation.strand(), run->run(), [this](const std::exception_ptr &, StageRun::End it) { end = it; });
+            turn();
+        }
+
+        ~Setting()
+        {
+            local.stop();
+            turn();
+        }
+
+        void turn()
+        {
+            context.restart();
+            context.poll();
+        }
+
+        PieceResult result(std::size_t fragment, PieceResult::End how) const
+        {
+            return {transport.pieces.at(fragment).number, how, how == PieceResult::End::Made ? "h" + std::to_string(fragment) : "",
+                    "north"};
+        }
+
+        Asio::io_context context;
+        SystemClock clock;
+        Roster roster;
+        std::unique_ptr<Site> site;
+        CatalogueTable catalogue;
+        FleetTable fleet;
+        RepeatBudget budget;
+        Metrics metrics;
+        RecordingTransport transport;
+        BatchOwner local;
+        PieceRouter router;
+        StageTimes times;
+        Cancellation cancellation;
+        std::optional<StageRun> run;
+        std::optional<StageRun::End> end;
+    };
+
+public:
+    void resultsBesideALatePieceAreFreed()
+    {
+        Setting it;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), it.transport.pieces.size());
+        it.router.deliver("owner", {it.result(0, PieceResult::End::Late), it.result(1, PieceResult::End::Made)});
+        it.turn();
+        CPPUNIT_ASSERT(it.end == StageRun::End::Late);
+        it.run.reset();
+        CPPUNIT_ASSERT_EQUAL(std::string("owner"), it.transport.released["h1"]);
+    }
+
+    void resultsOfACancelledRequestAreFreed()
+    {
+        Setting it;
+        it.router.deliver("owner", {it.result(0, PieceResult::End::Made)});
+        it.cancellation.cancel(RefusalCause::CallerClosed);
+        it.turn();
+        CPPUNIT_ASSERT(it.end == StageRun::End::Cancelled);
+        it.run.reset();
+        it.turn();
+        CPPUNIT_ASSERT_EQUAL(std::string("owner"), it.transport.released["h0"]);
+    }
+
+    void resultsAfterTheEndGoBackToTheirOwner()
+    {
+        Setting it;
+        it.router.deliver("owner", {it.result(0, PieceResult::End::Late)});
+        it.turn();
+        const PieceResult late = it.result(1, PieceResult::End::Made);
+        it.router.deliver("owner", {late}); // Under way to the request when it ends.
+        it.run.reset();
+        it.turn();
+        CPPUNIT_ASSERT_EQUAL(std::string("owner"), it.transport.released["h1"]);
+        it.router.deliver("former-owner", {{late.number, PieceResult::End::Made, "h2", "north"}});
+        CPPUNIT_ASSERT_EQUAL(std::string("former-owner"), it.transport.released["h2"]);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StageRunTest);
+
+} // namespace Guavalock
--- a/Tests/Site/SiteFleet.cpp
+++ b/Tests/Site/SiteFleet.cpp
@@ -151,14 +151,9 @@
     return call(callersPort(daemon), ask);
 }
 
-SiteFleet::Answer SiteFleet::call(std::uint16_t port, const Ask &ask)
+SiteFleet::Request SiteFleet::request(const Ask &ask)
 {
-    Answer answer;
-    Asio::io_context context;
-    Asio::ip::tcp::socket socket(context);
-    boost::system::error_code ec;
-    socket.connect({Asio::ip::address_v4::loopback(), port}, ec);
-    Http::request<Http::string_body> request(Http::string_to_verb(ask.method), ask.path, 11);
+    Request request(Http::string_to_verb(ask.method), ask.path, 11);
     request.set(Http::field::host, "h");
     request.set("X-Guavalock-Attempt-Id", ask.id);
     request.set("Api-Key", ask.key);
@@ -167,8 +162,27 @@
     }
     request.body() = ask.body;
     request.prepare_payload();
+    return request;
+}
+
+void SiteFleet::leave(std::size_t daemon, const Ask &ask, std::chrono::milliseconds after)
+{
+    Asio::io_context context;
+    Asio::ip::tcp::socket socket(context);
+    socket.connect({Asio::ip::address_v4::loopback(), callersPort(daemon)});
+    Http::write(socket, request(ask));
+    Asio::steady_timer(context, after).wait();
+}
+
+SiteFleet::Answer SiteFleet::call(std::uint16_t port, const Ask &ask)
+{
+    Answer answer;
+    Asio::io_context context;
+    Asio::ip::tcp::socket socket(context);
+    boost::system::error_code ec;
+    socket.connect({Asio::ip::address_v4::loopback(), port}, ec);
     if (!ec) {
-        Http::write(socket, request, ec);
+        Http::write(socket, request(ask), ec);
     }
     boost::beast::flat_buffer buffer;
     Http::response_parser<Http::string_body> parser;
--- a/Tests/Site/SiteFleet.h
+++ b/Tests/Site/SiteFleet.h
@@ -6,6 +6,9 @@
 #include "Site/Site.h"
 #include "Site/SiteDaemon.h"
 
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
 #include <map>
 #include <memory>
 #include <string>
@@ -50,6 +53,9 @@
 
     Answer ask(std::size_t daemon, const Ask &ask) const;
 
+    /// Sends a request and closes the connection after a time, without reading.
+    static void leave(std::size_t daemon, const Ask &ask, std::chrono::milliseconds after);
+
     /// Waits until a condition holds; returns false when it does not within some seconds.
     static bool await(const std::function<bool()> &holds);
 
@@ -62,6 +68,10 @@
     bool ready(std::size_t index) const;
 
 private:
+    using Request = boost::beast::http::request<boost::beast::http::string_body>;
+
+    static Request request(const Ask &ask);
+
     struct Place {
         std::string service;
         std::uint16_t port = 0;
--- a/Tests/Site/SiteTest.cpp
+++ b/Tests/Site/SiteTest.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(idleConnectionsLeaveRoomForOthers);
     CPPUNIT_TEST(refusalsWithoutAConfigurationSayWhenToComeBack);
     CPPUNIT_TEST(streamsGetTheirStagesAndFreeThem);
+    CPPUNIT_TEST(resultsOfRequestsThatEndedAreFreed);
     CPPUNIT_TEST(piecesOfManyRequestsShareCalls);
     CPPUNIT_TEST(busyStageTargetsCostNoRequest);
     CPPUNIT_TEST(brokenStreamsGoOnElsewhere);
@@ -207,6 +208,25 @@
         CPPUNIT_ASSERT(SiteFleet::await([&] { return fleet.target("stage-1").results() + fleet.target("stage-2").results() == 0; }));
     }
 
+    void resultsOfRequestsThatEndedAreFreed()
+    {
+        SiteFleet fleet(2);
+        fleet.start();
+        fleet.target("stage-1").setWork(std::chrono::milliseconds(40));
+        fleet.target("stage-2").setWork(std::chrono::milliseconds(40));
+        std::vector<std::future<void>> callers;
+        for (int it = 0; it < 60; ++it) {
+            const auto after = std::chrono::milliseconds(1 + 3 * it);
+            const SiteFleet::Ask sent = staged("t" + std::to_string(it));
+            callers.push_back(std::async(std::launch::async, [it, sent, after] { SiteFleet::leave(it % 2, sent, after); }));
+        }
+        for (auto &it : callers) {
+            it.wait();
+        }
+        CPPUNIT_ASSERT(fleet.target("stage-1").batches() + fleet.target("stage-2").batches() > 0);
+        CPPUNIT_ASSERT(SiteFleet::await([&] { return fleet.target("stage-1").results() + fleet.target("stage-2").results() == 0; }));
+    }
+
     void piecesOfManyRequestsShareCalls()
     {
         SiteFleet fleet(2);
