--- a/Source/Batching/BatchOwner.cpp
+++ b/Source/Batching/BatchOwner.cpp
@@ -254,6 +254,10 @@
     const BatchTerms &terms = *record->batch;
     const Clock::TimePoint now = m_parts.clock.now();
     const auto idle = idleWorkers(service, name, now);
+    std::map<std::string, std::size_t> targets;
+    for (const auto &[id, worker] : service.workers) {
+        ++targets[worker->target.dataCentre];
+    }
     for (const std::shared_ptr<BatchWorker> &worker : idle) {
         const double slowness = worker->slowness(now);
         const std::size_t others = service.workers.size() > 1 ? service.workers.size() - 1 : 0;
@@ -263,8 +267,8 @@
         if (!worthwhile) {
             continue;
         }
-        std::vector<BatchQueue::Entry> entries
-            = service.queue.take(terms, worker->roomForCall(terms.roomBytes, now), worker->target.dataCentre, now);
+        const std::uint64_t room = worker->roomForCall(terms.roomBytes, now);
+        std::vector<BatchQueue::Entry> entries = service.queue.take(terms, {room, worker->target.dataCentre, targets}, now);
         if (!entries.empty()) {
             const double full = static_cast<double>(service.queue.empty() ? terms.batchLimit : entries.size());
             service.batch = service.batch == 0 ? full : service.batch + batchWeight * (full - service.batch);
--- a/Source/Batching/BatchQueue.cpp
+++ b/Source/Batching/BatchQueue.cpp
@@ -11,15 +11,15 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds nearHold{150}; ///< How long a piece may wait for a target near its inputs; half of a call.
+constexpr std::chrono::milliseconds nearHold{300}; ///< How long a piece may wait for a target near its inputs: a call.
 constexpr std::chrono::milliseconds nearSlack{150}; ///< What has to be left until its result is wanted, so that waiting costs nothing.
 constexpr std::uint64_t farBytes = 64 * 1024; ///< Fewer bytes may cross data centres at no noticeable cost.
 
-bool waitsForNear(const BatchQueue::Entry &entry, const BatchTerms &terms, const std::string &dataCentre, Clock::TimePoint now)
+/// Returns whether a piece may wait for a target near its inputs, if one takes it soon.
+bool mayWait(const BatchQueue::Entry &entry, const BatchTerms &terms, Clock::TimePoint now)
 {
-    const Piece &piece = entry.piece;
-    return piece.nearBytes > farBytes && !piece.nearDataCentre.empty() && piece.nearDataCentre != dataCentre
-        && now < entry.arrived + nearHold && now + terms.callTime + nearSlack < piece.wantedBy;
+    return entry.piece.nearBytes > farBytes && !entry.piece.nearDataCentre.empty() && now < entry.arrived + nearHold
+        && now + terms.callTime + nearSlack < entry.piece.wantedBy;
 }
 
 } // namespace
@@ -43,16 +43,24 @@
     return static_cast<std::size_t>(n);
 }
 
-std::vector<BatchQueue::Entry> BatchQueue::take(const BatchTerms &terms, std::uint64_t room, const std::string &dataCentre,
-                                                Clock::TimePoint now)
+std::vector<BatchQueue::Entry> BatchQueue::take(const BatchTerms &terms, const Offer &offer, Clock::TimePoint now)
 {
     std::ranges::stable_sort(m_entries, {}, [&](const Entry &it) { return urgency(it.piece, terms, now); });
     std::vector<Entry> taken;
     std::vector<Entry> left;
+    std::map<std::string, std::size_t> places; // In the next calls of the targets of other data centres.
+    for (const auto &[dataCentre, targets] : offer.targets) {
+        places[dataCentre] = dataCentre == offer.dataCentre ? 0 : targets * terms.batchLimit;
+    }
     std::uint64_t bytes = 0;
     for (Entry &it : m_entries) {
-        const bool fits = taken.size() < terms.batchLimit && bytes + it.piece.resultBytes <= room;
-        if (!fits || waitsForNear(it, terms, dataCentre, now)) {
+        const auto near = places.find(it.piece.nearDataCentre);
+        const bool waits = near != places.end() && near->second > 0 && mayWait(it, terms, now);
+        const bool fits = taken.size() < terms.batchLimit && bytes + it.piece.resultBytes <= offer.room;
+        if (waits) {
+            --near->second;
+        }
+        if (!fits || waits) {
             left.push_back(std::move(it));
             continue;
         }
--- a/Source/Batching/BatchQueue.h
+++ b/Source/Batching/BatchQueue.h
@@ -3,6 +3,7 @@
 #include "Batching/Piece.h"
 
 #include <cstddef>
+#include <map>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -27,8 +28,18 @@
 
     void add(Entry entry);
 
-    /// Removes and returns what the next call to a target takes. Room is what the target has left for results, in bytes.
-    std::vector<Entry> take(const BatchTerms &terms, std::uint64_t room, const std::string &dataCentre, Clock::TimePoint now);
+    /// A target that could take a call, and where others of its service are.
+    struct Offer {
+        std::uint64_t room = 0; ///< That the target has left for results, in bytes.
+        std::string dataCentre;
+        const std::map<std::string, std::size_t> &targets; ///< That may be used, by data centre.
+    };
+
+    /// Removes and returns what the next call to a target takes.
+    ///
+    /// A piece whose inputs lie in another data centre is left to the targets there for a while, unless more waits for them than they
+    /// can take with their next calls.
+    std::vector<Entry> take(const BatchTerms &terms, const Offer &offer, Clock::TimePoint now);
 
     /// Returns how many waiting pieces go before another one.
     std::size_t ahead(const Piece &piece, const BatchTerms &terms, Clock::TimePoint now) const;
--- a/Source/Batching/StagePlan.cpp
+++ b/Source/Batching/StagePlan.cpp
@@ -59,6 +59,17 @@
     return it == held.end() ? std::string() : it->first;
 }
 
+std::size_t StagePlan::readers(std::size_t stage) const
+{
+    std::size_t n = 0;
+    for (const Stage &it : m_stages) {
+        if (std::ranges::find(it.node.after, stage) != it.node.after.end()) {
+            n += it.fragments.size();
+        }
+    }
+    return std::max<std::size_t>(n, 1);
+}
+
 Piece StagePlan::piece(std::size_t stage, std::size_t fragment) const
 {
     Piece piece;
@@ -77,9 +88,10 @@
         piece.key = m_key;
     }
     piece.nearDataCentre = heaviest(node.after, piece.nearBytes);
-    if (piece.nearBytes < node.resultBytes) {
+    const std::uint64_t readBytes = node.resultBytes * readers(stage);
+    if (piece.nearBytes < readBytes) {
         piece.nearDataCentre = m_destination;
-        piece.nearBytes = node.resultBytes;
+        piece.nearBytes = readBytes;
     }
     return piece;
 }
--- a/Source/Batching/StagePlan.h
+++ b/Source/Batching/StagePlan.h
@@ -91,6 +91,9 @@
     Clock::Duration remainingTime(const ExpectedTime &expected) const;
     void reset(std::size_t stage, Handles &dropped);
     bool used(std::size_t stage) const;
+    /// Returns how often a result of a stage is read: by every piece of the stages that take it, or once by the model engine.
+    std::size_t readers(std::size_t stage) const;
+
     Piece piece(std::size_t stage, std::size_t fragment) const;
 
     /// Returns the stages that no other stage takes.
--- a/Tests/Batching/BatchingTest.cpp
+++ b/Tests/Batching/BatchingTest.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(urgentPiecesThatCanStillMakeItGoFirst);
     CPPUNIT_TEST(batchesStayWithinLimitAndRoom);
     CPPUNIT_TEST(piecesWaitForATargetNearTheirInputsWhileTheyCan);
+    CPPUNIT_TEST(piecesThatNearTargetsCannotTakeSoonGoElsewhere);
+    CPPUNIT_TEST(resultsThatAreReadOftenAreMadeNearTheirReaders);
     CPPUNIT_TEST(cancelledAndLatePiecesAreNotSent);
     CPPUNIT_TEST(roomComesBackWhenFreedOrExpired);
     CPPUNIT_TEST(foreignResultsTakeRoom);
@@ -34,6 +36,7 @@
     static constexpr std::chrono::milliseconds stage{280};
 
     Clock::TimePoint m_now{std::chrono::seconds(100)};
+    std::map<std::string, std::size_t> m_targets{{"north", 1}, {"south", 1}};
 
     static Clock::Duration usual(const std::string &)
     {
@@ -66,6 +69,12 @@
         return {piece, "vm", m_now, 0};
     }
 
+    /// Of a target in the north, beside one in the south.
+    BatchQueue::Offer offer(std::uint64_t room) const
+    {
+        return {room, "north", m_targets};
+    }
+
     static std::string requests(const std::vector<BatchQueue::Entry> &entries)
     {
         std::string text;
@@ -173,7 +182,7 @@
         queue.add(entry("sooner ", Milliseconds(500)));
         queue.add(entry("ranked ", Milliseconds(900), 0));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), queue.ahead(entry("", Milliseconds(400)).piece, terms(), m_now));
-        CPPUNIT_ASSERT_EQUAL(std::string("ranked sooner later lost "), requests(queue.take(terms(), 1'000, "north", m_now)));
+        CPPUNIT_ASSERT_EQUAL(std::string("ranked sooner later lost "), requests(queue.take(terms(), offer(1'000), m_now)));
     }
 
     void batchesStayWithinLimitAndRoom()
@@ -182,8 +191,8 @@
         for (int it = 0; it < 6; ++it) {
             queue.add(entry("r", Milliseconds(500)));
         }
-        CPPUNIT_ASSERT_EQUAL(std::size_t(2), queue.take(terms(), 25, "north", m_now).size());
-        CPPUNIT_ASSERT_EQUAL(std::size_t(4), queue.take(terms(), 1'000, "north", m_now).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), queue.take(terms(), offer(25), m_now).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), queue.take(terms(), offer(1'000), m_now).size());
         CPPUNIT_ASSERT(queue.empty());
     }
 
@@ -194,11 +203,38 @@
         far.piece.nearDataCentre = "south";
         far.piece.nearBytes = 1'000'000;
         queue.add(far);
-        CPPUNIT_ASSERT(queue.take(terms(), 1'000, "north", m_now).empty());
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), queue.take(terms(), 1'000, "north", m_now + Milliseconds(200)).size());
+        CPPUNIT_ASSERT(queue.take(terms(), offer(1'000), m_now).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), queue.take(terms(), offer(1'000), m_now + Milliseconds(301)).size());
         far.piece.wantedBy = m_now + Milliseconds(300);
         queue.add(far);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), queue.take(terms(), 1'000, "north", m_now).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), queue.take(terms(), offer(1'000), m_now).size());
+    }
+
+    void piecesThatNearTargetsCannotTakeSoonGoElsewhere()
+    {
+        BatchQueue queue;
+        for (int it = 0; it < 6; ++it) {
+            BatchQueue::Entry far = entry(std::to_string(it), Milliseconds(900 + it));
+            far.piece.nearDataCentre = "south";
+            far.piece.nearBytes = 1'000'000;
+            queue.add(far);
+        }
+        // The target in the south takes four with its next call.
+        CPPUNIT_ASSERT_EQUAL(std::string("45"), requests(queue.take(terms(), offer(1'000), m_now)));
+        CPPUNIT_ASSERT(queue.take(terms(), offer(1'000), m_now).empty());
+        m_targets.erase("south");
+        CPPUNIT_ASSERT_EQUAL(std::string("0123"), requests(queue.take(terms(), offer(1'000), m_now)));
+    }
+
+    void resultsThatAreReadOftenAreMadeNearTheirReaders()
+    {
+        StagePlan plan(chain(), {1, 2, 10}, "r", "key");
+        plan.setDestination("south");
+        makeAll(plan, plan.takeReady(usual));
+        const auto yard = plan.takeReady(usual);
+        // Two results of 60 kB for ten pieces; the input of 8 kB lies in the north.
+        CPPUNIT_ASSERT_EQUAL(std::string("south"), yard.at(0).nearDataCentre);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(600'000), yard.at(0).nearBytes);
     }
 
     void cancelledAndLatePiecesAreNotSent()
