Carry out removals that come through a peer after an outage of the store

What is due was looked at only after a read of the store, and from then on they read through the peer: they sent to the target until 31 s.

Change: due removals are looked at on every pass. A target whose record is missing gets work only where there is no other, so that a target that really left gets none meanwhile. Fresh records from a reader count as an answer of the store.

--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -111,7 +111,11 @@
     while (!m_stopped) {
         const Clock::TimePoint start = m_parts.clock.now();
         const bool fromPeer = co_await readFromPeer(topic);
+        if (topic == Topic::Targets) {
+            removeDue();
+        }
         if (fromPeer) {
+            noteStore(topic, true); // It answers the reader.
             timer.expires_at(start + peerDistance);
             co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
             continue;
@@ -122,9 +126,6 @@
             forgotten = false;
         }
         noteStore(topic, read);
-        if (topic == Topic::Targets) {
-            removeDue();
-        }
         if (read) {
             backoff.reset();
             timer.expires_at(start + terms.distance);
@@ -215,6 +216,8 @@
     if (!record.value) {
         if (m_targetsBack && now < *m_targetsBack + returnTime) {
             m_removals[record.key] = {record.offset, *m_targetsBack + returnTime};
+            m_parts.fleet.miss(record.key, *m_targetsBack + returnTime);
+            Log::state("fleet", "target-missing", {{"target", record.key}, {"offset", std::to_string(record.offset)}});
         } else if (m_parts.fleet.remove(record.key, record.offset)) {
             Log::state("fleet", "target-gone", {{"target", record.key}, {"offset", std::to_string(record.offset)}});
         }
--- a/Source/Fleet/FleetTable.cpp
+++ b/Source/Fleet/FleetTable.cpp
@@ -55,6 +55,14 @@
     return true;
 }
 
+void FleetTable::miss(const std::string &id, Clock::TimePoint until)
+{
+    const std::scoped_lock lock(m_mutex);
+    if (const auto it = m_targets.find(id); it != m_targets.end()) {
+        it->second.miss(until);
+    }
+}
+
 void FleetTable::setEvacuated(const std::string &dataCentre, bool evacuated, Clock::TimePoint now)
 {
     const std::scoped_lock lock(m_mutex);
@@ -174,13 +182,19 @@
 {
     const std::scoped_lock lock(m_mutex);
     std::vector<TargetPick> found;
+    std::vector<TargetPick> missing;
     for (const auto &[id, target] : m_targets) {
         const TargetRecord &record = target.record();
-        if (record.service == service && open(target) && !target.suspect(now)) {
+        if (record.service != service || !open(target)) {
+            continue;
+        }
+        if (!target.suspect(now)) {
             found.push_back({id, record.address, record.dataCentre, service});
+        } else if (target.missing(now)) {
+            missing.push_back({id, record.address, record.dataCentre, service});
         }
     }
-    return found;
+    return found.empty() ? missing : found;
 }
 
 std::optional<TargetPick> FleetTable::at(const Endpoint &address)
--- a/Source/Fleet/FleetTable.h
+++ b/Source/Fleet/FleetTable.h
@@ -33,6 +33,9 @@
     /// Forgets a target. Returns whether it was known.
     bool remove(const std::string &id, std::uint64_t offset);
 
+    /// A target's record is missing after an outage of the store. Until a time, it is used only where there is no other.
+    void miss(const std::string &id, Clock::TimePoint until);
+
     /// Stops or resumes the use of a data centre. Its targets count as cold when it returns.
     void setEvacuated(const std::string &dataCentre, bool evacuated, Clock::TimePoint now);
 
@@ -51,7 +54,7 @@
     void began(const std::string &id, std::size_t promptTokens);
     void ended(const std::string &id, const TargetReport &report, Clock::Duration coldTime, Clock::TimePoint now);
 
-    /// Returns the targets of a stage service that may be given a batch.
+    /// Returns the targets of a stage service that may be given a batch; those whose record is missing only if there are no others.
     std::vector<TargetPick> usable(const std::string &service, Clock::TimePoint now);
 
     /// Returns the target at an address, for results that are known by the address of their maker.
--- a/Source/Fleet/TargetBelief.cpp
+++ b/Source/Fleet/TargetBelief.cpp
@@ -43,6 +43,7 @@
     m_coldUntil = std::max(m_coldUntil, now + record.coldRemaining);
     m_record = std::move(record);
     m_offset = offset;
+    m_missingUntil = {};
 }
 
 void TargetBelief::sent(std::size_t promptTokens, Clock::TimePoint now)
@@ -109,9 +110,19 @@
     return now < m_coldUntil;
 }
 
+void TargetBelief::miss(Clock::TimePoint until)
+{
+    m_missingUntil = until;
+}
+
+bool TargetBelief::missing(Clock::TimePoint now) const
+{
+    return now < m_missingUntil;
+}
+
 bool TargetBelief::suspect(Clock::TimePoint now) const
 {
-    return now < m_suspectUntil;
+    return now < m_suspectUntil || missing(now);
 }
 
 double TargetBelief::load(Clock::TimePoint now) const
--- a/Source/Fleet/TargetBelief.h
+++ b/Source/Fleet/TargetBelief.h
@@ -31,7 +31,12 @@
 
     bool cold(Clock::TimePoint now) const;
 
-    /// Returns whether recent requests failed so that others are to be preferred.
+    /// The target's record is missing, and may come back until a time.
+    void miss(Clock::TimePoint until);
+
+    bool missing(Clock::TimePoint now) const;
+
+    /// Returns whether recent requests failed, or the record is missing, so that others are to be preferred.
     bool suspect(Clock::TimePoint now) const;
 
     /// Returns requests in progress as far as is known, counted in requests.
@@ -59,6 +64,7 @@
     Clock::TimePoint m_loadTime;
     Clock::TimePoint m_coldUntil;
     Clock::TimePoint m_suspectUntil;
+    Clock::TimePoint m_missingUntil{};
     unsigned m_failuresInRow = 0;
     double m_health = 1.0;
     double m_latency = 0; ///< Seconds.
--- a/Tests/Fleet/FleetTest.cpp
+++ b/Tests/Fleet/FleetTest.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(unknownMembersSendNothingToColdTargets);
     CPPUNIT_TEST(drainingAndEvacuatedTargetsAreNotChosen);
     CPPUNIT_TEST(targetsOfAReturnedDataCentreCountAsCold);
+    CPPUNIT_TEST(missingTargetsAreUsedOnlyWhereThereIsNoOther);
     CPPUNIT_TEST(brokenTargetsArePassedOver);
     CPPUNIT_TEST(targetsThatFailPartOfTheirRequestsGetFewer);
     CPPUNIT_TEST(requestsThatShareAPromptGoToOneTarget);
@@ -209,6 +210,25 @@
         CPPUNIT_ASSERT(!choose(fleet, demand()));
     }
 
+    /// As after an outage of the store, when lapsed records may come back.
+    void missingTargetsAreUsedOnlyWhereThereIsNoOther()
+    {
+        FleetTable fleet("vm");
+        fleet.renew(target("t1"), 1, m_now);
+        fleet.renew(target("t2"), 2, m_now);
+        const auto until = m_now + Milliseconds(2'000);
+        fleet.miss("t1", until);
+        for (int it = 0; it < 20; ++it) {
+            CPPUNIT_ASSERT_EQUAL(std::string("t2"), choose(fleet, demand(it))->id);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.usable("model", m_now).size());
+        fleet.miss("t2", until);
+        CPPUNIT_ASSERT(choose(fleet, demand()).has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), fleet.usable("model", m_now).size());
+        fleet.renew(target("t1"), 3, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::string("t1"), choose(fleet, demand())->id);
+    }
+
     void brokenTargetsArePassedOver()
     {
         FleetTable fleet("vm");
--- a/Tests/Site/SiteTest.cpp
+++ b/Tests/Site/SiteTest.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(brokenStreamsGoOnElsewhere);
     CPPUNIT_TEST(streamsThatMayNotGoOnDoNotLookWhole);
     CPPUNIT_TEST(takenKeysAndLeavingTargetsAreHeardOfThroughPeers);
+    CPPUNIT_TEST(removalsAfterAnOutageReachThoseWhoReadThroughAPeer);
     CPPUNIT_TEST(evacuatedDataCentresGetNothing);
     CPPUNIT_TEST(forgottenHistoryLosesNothing);
     CPPUNIT_TEST(daemonBornInAnOutageServes);
@@ -305,6 +306,25 @@
         }));
     }
 
+    /// Of the daemons 0 and 2 in one data centre, one reads the store and the other asks it.
+    void removalsAfterAnOutageReachThoseWhoReadThroughAPeer()
+    {
+        SiteFleet fleet(3);
+        fleet.start();
+        fleet.store().setOutage(true);
+        std::this_thread::sleep_for(std::chrono::seconds(3));
+        fleet.store().setOutage(false);
+        std::this_thread::sleep_for(std::chrono::milliseconds(1'000));
+        fleet.dropTarget("plain-1");
+        // A change is heard of within 1.2 s; at the end of the time for records to come back, the target is forgotten.
+        std::this_thread::sleep_for(std::chrono::milliseconds(1'500));
+        const std::size_t before = fleet.target("plain-1").arrivals();
+        for (int n = 0; n < 12; ++n) {
+            fleet.ask(n % 2 * 2, ask("/safe/x", "u" + std::to_string(n)));
+        }
+        CPPUNIT_ASSERT_EQUAL(before, fleet.target("plain-1").arrivals());
+    }
+
     void evacuatedDataCentresGetNothing()
     {
         SiteFleet fleet(1);
