Read the store once for the fleet

Change: one daemon reads a topic for all; which one follows from the live members as each daemon sees them, so each side of a cut has its own within the 1.6 s after which silent members count as gone. Records of members are read half as often, and their askers take older ones. The read of operators' records waits 0.7 s, so that askers find them fresh.

Ruled out: a tree of readers (delays add up to more than the time in which leaving targets have to be heard of); groups of the store.

--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -35,17 +35,19 @@
     Milliseconds wait; ///< For a record to come.
     Milliseconds timeout;
     Milliseconds distance; ///< From one read's beginning to the next.
+    Milliseconds peerDistance; ///< From one question to the daemon that reads for others to the next.
+    Milliseconds peerFreshness; ///< Older records of that daemon are not relied on; the store is read instead.
 };
 
 /// In the order of Topic. Targets write all the time, so only the distance limits those reads; it is a quarter of the time within
-/// which a leaving target has to get no more work. A read of the operator's records is short so that a silent connection shows.
-constexpr std::array readTerms{ReadTerms{Milliseconds(1'000), Milliseconds(2'000), Milliseconds(50)},
-                               ReadTerms{Milliseconds(1'000), Milliseconds(1'800), Milliseconds(500)},
-                               ReadTerms{Milliseconds(1'000), Milliseconds(2'000), Milliseconds(1'000)}};
+/// which a leaving target has to get no more work. A read of the operator's records is short, so that a silent connection shows and
+/// those who ask have fresh records. Daemons learn of each other by their links; their records are for those without any.
+constexpr std::array readTerms{
+    ReadTerms{Milliseconds(700), Milliseconds(1'700), Milliseconds(50), Milliseconds(500), Milliseconds(1'200)},
+    ReadTerms{Milliseconds(1'000), Milliseconds(1'800), Milliseconds(500), Milliseconds(500), Milliseconds(1'200)},
+    ReadTerms{Milliseconds(2'000), Milliseconds(3'000), Milliseconds(2'000), Milliseconds(2'000), Milliseconds(6'000)}};
 
-constexpr Milliseconds peerDistance{500}; ///< Between two questions to the daemon that reads for others.
 constexpr Milliseconds peerTimeout{150}; ///< For its answer, which takes a round trip.
-constexpr Milliseconds peerFreshness{1'200}; ///< Older records are not relied on; the store is read instead.
 constexpr Milliseconds callTimeout{1'500}; ///< For calls that the store answers at once.
 constexpr Milliseconds firstPause{150}; ///< Between tries while the store does not answer.
 constexpr Milliseconds longestPause{700}; ///< Short against the time in which changes have to be in force.
@@ -116,7 +118,7 @@
         }
         if (fromPeer) {
             noteStore(topic, true); // It answers the reader.
-            timer.expires_at(start + peerDistance);
+            timer.expires_at(start + terms.peerDistance);
             co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
             continue;
         }
@@ -177,7 +179,7 @@
     }
     Asio::steady_timer timer(m_strand, peerTimeout);
     co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
-    co_return m_parts.mirror.progress(topic).confirmed > m_parts.clock.now() - peerFreshness;
+    co_return m_parts.mirror.progress(topic).confirmed > m_parts.clock.now() - readTerms.at(static_cast<std::size_t>(topic)).peerFreshness;
 }
 
 void FleetFollower::apply(Topic topic, const std::vector<KeyedRecord> &records)
--- a/Source/Mesh/Roster.cpp
+++ b/Source/Mesh/Roster.cpp
@@ -14,11 +14,11 @@
 constexpr double largeShare = 0.75; ///< Of the largest processor share; daemons with less take no work for others.
 
 /// Returns the member with the highest hash among those with a large share of a processor. There has to be a member.
-const MemberRecord &highest(const std::string &matter, const std::vector<MemberRecord> &members)
+const MemberRecord &highest(const std::string &task, const std::vector<MemberRecord> &members)
 {
     const double largest = std::ranges::max_element(members, {}, &MemberRecord::processorShare)->processorShare;
     return *std::ranges::max_element(members, {}, [&](const MemberRecord &it) {
-        return std::pair(it.processorShare >= largeShare * largest, Hash::of(it.vm, Hash::of(matter)));
+        return std::pair(it.processorShare >= largeShare * largest, Hash::of(it.vm, Hash::of(task)));
     });
 }
 
@@ -99,20 +99,10 @@
     m_draining = true;
 }
 
-std::string Roster::owner(const std::string &service, Clock::TimePoint now) const
+std::string Roster::owner(const std::string &task, Clock::TimePoint now) const
 {
     const std::vector<MemberRecord> members = live(now);
-    return highest(service, members).vm;
-}
-
-std::string Roster::owner(const std::string &matter, const std::string &dataCentre, Clock::TimePoint now) const
-{
-    std::vector<MemberRecord> members = live(now);
-    std::erase_if(members, [&](const MemberRecord &it) { return it.dataCentre != dataCentre; });
-    if (members.empty()) {
-        return m_self.vm;
-    }
-    return highest(matter, members).vm;
+    return highest(task, members).vm;
 }
 
 bool Roster::reachable(const std::string &vm, Clock::TimePoint now) const
--- a/Source/Mesh/Roster.h
+++ b/Source/Mesh/Roster.h
@@ -38,11 +38,9 @@
     /// Returns the daemons that can be given work, this one included.
     std::vector<MemberRecord> live(Clock::TimePoint now) const;
 
-    /// Returns the live daemon that batches the pieces of a service: the highest hash among those with the most processor.
-    std::string owner(const std::string &service, Clock::TimePoint now) const;
-
-    /// As above, among the daemons of one data centre, for what is shared there only.
-    std::string owner(const std::string &matter, const std::string &dataCentre, Clock::TimePoint now) const;
+    /// Returns the live daemon that does a task for all, such as batching the pieces of a service: the highest hash among those with the
+    /// most processor.
+    std::string owner(const std::string &task, Clock::TimePoint now) const;
 
     /// Returns whether a daemon is there to finish what it was given, also while it drains.
     bool reachable(const std::string &vm, Clock::TimePoint now) const;
--- a/Source/Site/SiteDaemon.cpp
+++ b/Source/Site/SiteDaemon.cpp
@@ -110,9 +110,8 @@
 
 std::string SiteDaemon::readerFor(Topic topic) const
 {
-    const MemberRecord &self = m_roster->self();
-    const std::string reader = m_roster->owner(topicName(topic), self.dataCentre, m_clock.now());
-    return reader == self.vm ? std::string() : reader;
+    const std::string reader = m_roster->owner(topicName(topic), m_clock.now());
+    return reader == m_roster->self().vm ? std::string() : reader;
 }
 
 MeshNetwork::Events SiteDaemon::meshEvents()
