Explain requests from their logs; look at the settings file without a signal; end with a stopped reader

Cause: on-call engineers followed docs/OPERATIONS.md by hand; the end line of a request did not say where its time went. The settings file may change without SIGHUP. A process whose reader of standard output had stopped could not end: the writing thread waited in write().

Change: `guavalock explain ID [FILES]` gathers the lines of a request from the logs of all daemons and states the cause by the kind of its end. The end line tells the time of the stages, the first event and the objective. The daemon looks at its settings every 2 s. The log writer polls before each write and gives up at the end of the process.

--- a/Source/Daemon/main.cpp
+++ b/Source/Daemon/main.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/system/system_error.hpp>
 
+#include <cerrno>
 #include <csignal>
 #include <iostream>
 #include <string>
@@ -21,6 +22,7 @@
 constexpr int exitSettings = 5;
 constexpr int exitAddress = 6;
 constexpr int exitCut = 3;
+constexpr timespec settingsCheck{2, 0}; ///< Between looks at the settings file, in seconds; as long as other changes may take.
 
 /// Blocks the stop signals in every thread, so that the main thread can wait for one.
 sigset_t blockStopSignals()
@@ -35,7 +37,8 @@
     return signals;
 }
 
-/// Starts a daemon and stops it with the first stop signal. Reload is called with every hang-up signal.
+/// Starts a daemon and stops it with the first stop signal. Reload is called with every hang-up signal, and now and then, since a
+/// settings file may change without one.
 template <class AnyDaemon, class Reload>
 int serve(AnyDaemon &daemon, const sigset_t &signals, Reload reload)
 {
@@ -45,11 +48,12 @@
         std::cerr << "guavalockd: cannot listen: " << e.what() << "; check the addresses in the settings\n";
         return exitAddress;
     }
-    int signal = 0;
-    sigwait(&signals, &signal);
-    while (signal == SIGHUP) {
-        reload();
-        sigwait(&signals, &signal);
+    int signal = SIGHUP;
+    while (signal == SIGHUP || signal < 0) {
+        signal = sigtimedwait(&signals, nullptr, &settingsCheck);
+        if (signal == SIGHUP || (signal < 0 && errno == EAGAIN)) {
+            reload(signal == SIGHUP);
+        }
     }
     return daemon.stop() ? 0 : exitCut;
 }
@@ -67,7 +71,7 @@
         return exitUsage;
     }
     Reason reason;
-    const std::optional<SiteSettings> settings = site->settings(reason);
+    std::optional<SiteSettings> settings = site->settings({}, reason);
     if (!settings) {
         std::cerr << "guavalockd: " << reason.text << '\n';
         return exitSettings;
@@ -75,14 +79,16 @@
     const sigset_t signals = blockStopSignals();
     Log::start(settings->self.vm);
     SiteDaemon daemon(*site, *settings);
-    return serve(daemon, signals, [&] {
+    return serve(daemon, signals, [&](bool asked) {
         Reason reloadReason;
-        const std::optional<SiteSettings> renewed = site->settings(reloadReason);
-        if (renewed) {
-            daemon.reload(*renewed);
-        } else {
+        const std::optional<SiteSettings> renewed = site->settings({}, reloadReason);
+        if (!renewed && asked) {
             Log::warning("daemon", "reload-refused", {{"reason", reloadReason.text}});
         }
+        if (renewed && (asked || *renewed != *settings)) {
+            settings = renewed;
+            daemon.reload(*renewed);
+        }
     });
 }
 
@@ -110,5 +116,9 @@
     const sigset_t signals = blockStopSignals();
     Log::start(settings->vm);
     Daemon daemon(*settings);
-    return serve(daemon, signals, [] { Log::state("daemon", "reload-ignored", {{"reason", "settings are read at the start only"}}); });
+    return serve(daemon, signals, [](bool asked) {
+        if (asked) {
+            Log::state("daemon", "reload-ignored", {{"reason", "settings are read at the start only"}});
+        }
+    });
 }
--- a/Source/Fleet/RepeatBudget.h
+++ b/Source/Fleet/RepeatBudget.h
@@ -21,6 +21,8 @@
         double ratio = 0; ///< Repeats for each request.
         double allowance = 0; ///< Repeats above that, of all daemons together.
         Clock::Duration window{};
+
+        bool operator==(const Terms &) const = default;
     };
 
     explicit RepeatBudget(Terms terms);
--- a/Source/Kernel/LogQueue.cpp
+++ b/Source/Kernel/LogQueue.cpp
@@ -1,8 +1,10 @@
 #include "Kernel/LogQueue.h"
 
+#include <limits.h>
 #include <poll.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <utility>
 
@@ -13,7 +15,7 @@
 {
 
 constexpr std::chrono::milliseconds gatherTime{200}; ///< Lines of this time leave in one write.
-constexpr std::chrono::milliseconds stopWait{200}; ///< For the reader, when the process ends.
+constexpr std::chrono::milliseconds readerWait{200}; ///< For the reader; when the process ends, the rest is dropped after it.
 
 } // namespace
 
@@ -59,11 +61,18 @@
     return ::poll(&it, 1, static_cast<int>(wait.count())) > 0;
 }
 
-void LogQueue::writeAll(const std::string &text) const
+void LogQueue::write(const std::string &text) const
 {
     std::size_t at = 0;
     while (at < text.size()) {
-        const ssize_t n = ::write(m_descriptor, text.data() + at, text.size() - at);
+        if (!writable(readerWait)) {
+            if (m_stopped) {
+                return;
+            }
+            continue;
+        }
+        // So much goes into a pipe that is ready without waiting.
+        const ssize_t n = ::write(m_descriptor, text.data() + at, std::min<std::size_t>(text.size() - at, PIPE_BUF));
         if (n < 0 && errno != EINTR) {
             return; // The reader is gone; nobody misses the lines.
         }
@@ -77,7 +86,7 @@
     while (true) {
         m_filled.wait(lock, [this] { return m_stopped || !m_queued.empty(); });
         if (!m_stopped) {
-            m_filled.wait_for(lock, gatherTime, [this] { return m_stopped; });
+            m_filled.wait_for(lock, gatherTime, [this] { return m_stopped.load(); });
         }
         const bool last = m_stopped;
         std::string text = std::exchange(m_queued, {});
@@ -86,9 +95,7 @@
             m_droppedSince = 0;
         }
         lock.unlock();
-        if (!last || writable(stopWait)) {
-            writeAll(text);
-        }
+        write(text);
         if (last) {
             return;
         }
--- a/Source/Kernel/LogQueue.h
+++ b/Source/Kernel/LogQueue.h
@@ -3,6 +3,7 @@
 #include "Kernel/Counter.h"
 #include "Kernel/RankedMutex.h"
 
+#include <atomic>
 #include <chrono>
 #include <condition_variable>
 #include <cstddef>
@@ -37,7 +38,8 @@
 
 private:
     void run();
-    void writeAll(const std::string &text) const;
+    /// Writes as the reader takes it; gives up when the process ends and the reader has stopped.
+    void write(const std::string &text) const;
     bool writable(std::chrono::milliseconds wait) const;
 
     int m_descriptor;
@@ -45,7 +47,7 @@
     std::condition_variable_any m_filled;
     std::string m_queued;
     std::uint64_t m_droppedSince = 0;
-    bool m_stopped = false;
+    std::atomic<bool> m_stopped{false};
     Counter m_dropped;
     std::thread m_thread;
 };
--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -94,6 +94,11 @@
     return true;
 }
 
+Milliseconds RelayJob::sinceArrival() const
+{
+    return std::chrono::duration_cast<Milliseconds>(m_parts.clock.now() - m_request.arrived);
+}
+
 Milliseconds RelayJob::timeLeft() const
 {
     return std::chrono::duration_cast<Milliseconds>(m_deadline - m_parts.clock.now());
@@ -153,7 +158,8 @@
     }
     const StageRun::End end = co_await m_stages->run();
     if (end == StageRun::End::Complete) {
-        m_parts.metrics.distribution("stages_seconds").observe(m_parts.clock.now() - m_request.arrived);
+        m_stagesTook = sinceArrival();
+        m_parts.metrics.distribution("stages_seconds").observe(*m_stagesTook);
         co_return true;
     }
     if (m_progress.begun) {
@@ -266,7 +272,8 @@
     attempt.onBegun([this, &target] {
         m_parts.fleet.began(target->id, m_request.promptTokens);
         const Clock::TimePoint now = m_parts.clock.now();
-        m_parts.metrics.distribution("first_event_seconds").observe(now - m_request.arrived);
+        m_firstEvent = sinceArrival();
+        m_parts.metrics.distribution("first_event_seconds").observe(*m_firstEvent);
         m_parts.times.observe(m_service->name, now - m_sentAt, now);
         m_stages.reset();
     });
@@ -413,7 +420,10 @@
 
 void RelayJob::logEnd(std::string_view outcome, unsigned status) const
 {
-    const auto took = std::chrono::duration_cast<Milliseconds>(m_parts.clock.now() - m_request.arrived);
+    const Milliseconds took = sinceArrival();
+    const auto text = [](const std::optional<Milliseconds> &time) {
+        return time ? std::to_string(time->count()) : std::string();
+    };
     m_parts.metrics.distribution("request_seconds").observe(took);
     Log::state("relay", "request",
                {{"id", m_request.id},
@@ -425,6 +435,9 @@
                 {"configuration", m_catalogue ? std::to_string(m_catalogue->version()) : "none"},
                 {"target", m_lastTarget},
                 {"sends", std::to_string(m_sends)},
+                {"stages_ms", text(m_stagesTook)},
+                {"first_event_ms", text(m_firstEvent)},
+                {"objective_ms", m_route != nullptr ? std::to_string(m_route->objective.count()) : ""},
                 {"took_ms", std::to_string(took.count())}});
 }
 
--- a/Source/Relay/RelayJob.h
+++ b/Source/Relay/RelayJob.h
@@ -70,6 +70,7 @@
     /// Returns the time by which an answer has to have begun, or its caller is gone.
     Clock::TimePoint firstEventLimit() const;
 
+    std::chrono::milliseconds sinceArrival() const;
     std::chrono::milliseconds timeLeft() const;
     std::chrono::milliseconds silenceLimit(const TargetPick &target) const;
     void noteRepeat(std::string_view cause) const;
@@ -89,6 +90,8 @@
     Clock::TimePoint m_sentAt; ///< The last attempt.
     std::unique_ptr<StageRun> m_stages;
     StreamProgress m_progress;
+    std::optional<std::chrono::milliseconds> m_stagesTook; ///< From the request's arrival until its stages were made.
+    std::optional<std::chrono::milliseconds> m_firstEvent; ///< From its arrival until the answer's first event.
     Refusal m_refusal;
     std::set<std::string> m_tried;
     std::string m_lastTarget;
--- a/Source/Site/Site.h
+++ b/Source/Site/Site.h
@@ -8,6 +8,7 @@
 
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace Guavalock
 {
@@ -24,8 +25,9 @@
 
     virtual ~Site() = default;
 
-    /// Reads this process's settings. Returns nothing, with a reason that names the setting, when they cannot be used.
-    virtual std::optional<SiteSettings> settings(Reason &reason) const = 0;
+    /// Reads settings from a file, or from where the deployment puts those of this process when the path is empty. Returns nothing,
+    /// with a reason that names the setting, when they cannot be used.
+    virtual std::optional<SiteSettings> settings(const std::string &path, Reason &reason) const = 0;
 
     virtual const RelayCodec &relayCodec() const = 0;
     virtual const StageCodec &stageCodec() const = 0;
--- a/Source/Site/SiteSettings.h
+++ b/Source/Site/SiteSettings.h
@@ -21,6 +21,8 @@
     std::vector<Endpoint> seeds; ///< Where other daemons may listen for their peers.
     std::chrono::milliseconds graceTime{0}; ///< From the stop signal to the end of the process by force.
     RepeatBudget::Terms repeats;
+
+    bool operator==(const SiteSettings &) const = default;
 };
 
 } // namespace Guavalock
--- a/Source/Tool/Tool.cpp
+++ b/Source/Tool/Tool.cpp
@@ -5,6 +5,8 @@
 #include "Scenario/ScenarioCommand.h"
 #include "Settings/ConfigurationDocument.h"
 #include "Settings/SettingsFile.h"
+#include "Site/Site.h"
+#include "Tool/LogExplainer.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -24,6 +26,7 @@
 namespace
 {
 
+constexpr int exitNotFound = 1;
 constexpr int exitUsage = 2;
 constexpr int exitSettings = 5;
 constexpr std::size_t columnGap = 2;
@@ -72,6 +75,7 @@
 {
     static const std::array table = {
         Command{"check", "FILE...", "check settings files without a daemon", 1, &Tool::check},
+        Command{"explain", "ID [FILE...]", "tell from logs, or standard input, what became of a request and why", 1, &Tool::explain},
         Command{"plugins", "", "list the plug-ins that are built in", 0, &Tool::plugins},
         Command{"codes", "", "list the result codes, as the table in docs/RESULT-CODES.md", 0, &Tool::codes},
         Command{"status", "", "show the state of each daemon", 0, &Tool::status},
@@ -99,7 +103,9 @@
         line.resize(std::max<std::size_t>(line.size() + 1, 28), ' ');
         text += line + std::string(it.summary) + "\n";
     }
-    return text + "\nexample: guavalock --daemons 127.0.0.1:8101 report burn\n";
+    return text
+        + "\nexamples: guavalock --daemons 127.0.0.1:8101 report burn\n          guavalock explain 38fd9c3d71e1a975 daemon-*.log\n         "
+          " guavalock --site platform check local.json\n";
 }
 
 int Tool::run(const std::vector<std::string> &words)
@@ -159,6 +165,15 @@
 {
     bool good = true;
     for (const std::string &it : words) {
+        if (!m_options.site.empty()) {
+            Reason reason;
+            const bool valid = checkSite(it, reason);
+            if (!valid) {
+                std::cout << it << ": " << reason.text << '\n';
+            }
+            good = good && valid;
+            continue;
+        }
         SettingsErrors errors;
         const std::optional<SettingsFile> file = SettingsFile::load(it, errors);
         if (file) {
@@ -172,6 +187,43 @@
     return good ? 0 : exitSettings;
 }
 
+bool Tool::checkSite(const std::string &file, Reason &reason) const
+{
+    const std::unique_ptr<Site> site = Registry<Site>::instance().create(m_options.site);
+    if (!site) {
+        reason = {ResultCode::UnknownPlugin, "no site is called '" + m_options.site + "'; see 'guavalock plugins'"};
+        return false;
+    }
+    return site->settings(file, reason).has_value();
+}
+
+int Tool::explain(Words words)
+{
+    LogExplainer explainer;
+    for (const std::string &it : words.subspan(1)) {
+        std::ifstream in(it);
+        if (!in) {
+            return fail({ResultCode::SettingsInvalid, "'" + it + "' cannot be read; check the path"});
+        }
+        explainer.read(in);
+    }
+    if (words.size() == 1) {
+        explainer.read(std::cin);
+    }
+    const std::string &id = words.front();
+    const std::string story = explainer.story(id);
+    if (story.empty()) {
+        std::cerr << "guavalock: no line names the request " << id << "; are the logs of all daemons there?\n";
+        return exitNotFound;
+    }
+    if (m_options.json) {
+        std::cout << boost::json::serialize(explainer.json(id)) << '\n';
+    } else {
+        std::cout << story;
+    }
+    return 0;
+}
+
 int Tool::plugins(Words)
 {
     boost::json::array rows;
--- a/Source/Tool/Tool.h
+++ b/Source/Tool/Tool.h
@@ -24,6 +24,7 @@
         std::size_t seeds = 1; ///< How many seeds a scenario runs with.
         bool trace = false;
         std::vector<std::string> policies; ///< Run a scenario with each, to compare.
+        std::string site; ///< The site plug-in whose settings are checked; empty for the product's own.
     };
 
     explicit Tool(Options options);
@@ -49,6 +50,8 @@
     static std::span<const Command> commands();
 
     int check(Words words);
+    int explain(Words words);
+    bool checkSite(const std::string &file, Reason &reason) const;
     int plugins(Words words);
     int codes(Words words);
     int status(Words words);
--- a/Source/Tool/main.cpp
+++ b/Source/Tool/main.cpp
@@ -9,6 +9,7 @@
 ABSL_FLAG(std::uint64_t, seeds, 1, "for scenarios: how many seeds to run, from the file's on");
 ABSL_FLAG(bool, trace, false, "for scenarios: print every event");
 ABSL_FLAG(std::vector<std::string>, policies, {}, "for scenarios: run with each of these routing policies and compare");
+ABSL_FLAG(std::string, site, "", "for check: the site plug-in whose settings the files hold");
 ABSL_FLAG(bool, json, false, "print JSON instead of tables");
 
 int main(int argc, char **argv)
@@ -18,6 +19,6 @@
     const std::vector<char *> rest = absl::ParseCommandLine(argc, argv);
     const std::vector<std::string> words(rest.begin() + 1, rest.end());
     Tool tool({absl::GetFlag(FLAGS_daemons), absl::GetFlag(FLAGS_author), absl::GetFlag(FLAGS_json), absl::GetFlag(FLAGS_seeds),
-               absl::GetFlag(FLAGS_trace), absl::GetFlag(FLAGS_policies)});
+               absl::GetFlag(FLAGS_trace), absl::GetFlag(FLAGS_policies), absl::GetFlag(FLAGS_site)});
     return tool.run(words);
 }
--- /dev/null
+++ b/Tests/Tool/ExplainTest.cpp
@@ -0,0 +1,112 @@
+#include "Tool/LogExplainer.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <sstream>
+
+namespace Guavalock
+{
+
+/// Lines as daemons write them, from two logs.
+class ExplainTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ExplainTest);
+    CPPUNIT_TEST(refusedUnderLoad);
+    CPPUNIT_TEST(lostToATarget);
+    CPPUNIT_TEST(failedInAStage);
+    CPPUNIT_TEST(lateThroughStages);
+    CPPUNIT_TEST(linesAreInOrderOfTime);
+    CPPUNIT_TEST(unknownRequestsHaveNoStory);
+    CPPUNIT_TEST_SUITE_END();
+
+    LogExplainer m_explainer;
+
+    static std::string line(const std::string &milliseconds, const std::string &vm, const std::string &rest)
+    {
+        return R"({"time":"2026-01-10T08:37:38.)" + milliseconds + R"(Z","level":"INFO","vm":")" + vm + "\"," + rest + "}\n";
+    }
+
+    void read(const std::string &text)
+    {
+        std::istringstream in(text);
+        m_explainer.read(in);
+    }
+
+    std::string cause(const std::string &id) const
+    {
+        const std::string story = m_explainer.story(id);
+        const std::size_t begin = story.find("cause: ");
+        return begin == std::string::npos ? std::string() : story.substr(begin + 7, story.find('\n', begin) - begin - 7);
+    }
+
+public:
+    void setUp() override
+    {
+        read(
+            "  12.5 edge-1 "
+            + line(
+                "300", "edge-1",
+                R"("part":"relay","event":"request","id":"a1","outcome":"refused","code":"Overloaded","reason":"the stages have too much to do already","sends":"0","took_ms":"9")")
+            + line(
+                "310", "edge-1",
+                R"("part":"relay","event":"request","id":"b1","outcome":"refused","code":"OutcomeUnknown","reason":"the target t1 gave no whole answer","target":"t1")")
+            + line(
+                "320", "edge-1",
+                R"("part":"relay","event":"request","id":"c1","outcome":"refused","code":"StageUnavailable","reason":"a stage could not be made")")
+            + line(
+                "330", "edge-1",
+                R"("part":"relay","event":"request","id":"d1","outcome":"answered","status":"200","stages_ms":"900","first_event_ms":"1250","objective_ms":"1100","took_ms":"2000")")
+            + "not a line\n{broken\n");
+        read(
+            line(
+                "290", "edge-2",
+                R"("part":"batching","event":"refused","id":"a1","service":"ledger","queued":"131","targets":"5","expected_ms":"760","wanted_in_ms":"410")")
+            + line("200", "edge-2", R"("part":"relay","event":"repeat","id":"e1","cause":"broken","target":"t1")")
+            + line("250", "edge-2", R"("part":"fleet","event":"target-gone","target":"t1","offset":"265")")
+            + line("100", "edge-2",
+                   R"("part":"batching","event":"call-failed","service":"ledger","target":"t7","end":"timed-out","first_request":"z1")"));
+    }
+
+    void refusedUnderLoad()
+    {
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("service ledger had 131 pieces waiting for 5 targets; its stages would have taken 760 ms of the 410 ms left"),
+            cause("a1"));
+    }
+
+    void lostToATarget()
+    {
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("the target t1 gave no whole answer; within a second 1 other requests lost this target's answer; its "
+                        "record said target-gone at that time"),
+            cause("b1"));
+    }
+
+    void failedInAStage()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string("a stage could not be made; 1 failed calls of ledger at target t7 (timed-out)"), cause("c1"));
+    }
+
+    void lateThroughStages()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string("late: 1250 of 1100 ms, 900 ms of them for its stages"), cause("d1"));
+    }
+
+    void linesAreInOrderOfTime()
+    {
+        const std::string story = m_explainer.story("a1");
+        CPPUNIT_ASSERT(story.find("batching/refused") < story.find("relay/request"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_explainer.json("a1").at("lines").as_array().size());
+    }
+
+    void unknownRequestsHaveNoStory()
+    {
+        CPPUNIT_ASSERT(m_explainer.story("nobody").empty());
+        CPPUNIT_ASSERT_EQUAL(std::string("no line tells its end; the daemon that took it may have died, or its log is missing"),
+                             cause("z1"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ExplainTest);
+
+} // namespace Guavalock
