Do not refuse the stages of a stream that goes on at another target

Change: such stages are not refused; they are wanted before the caller would leave a silent stream.

Test: StageRunTest::stagesOfABegunStreamAreNotRefused, failing without the change.

--- a/Source/Batching/StageRun.cpp
+++ b/Source/Batching/StageRun.cpp
@@ -61,7 +61,7 @@
     std::vector<Piece> pieces = m_plan.takeReady(expected);
     const Clock::TimePoint answerFrom = m_terms.objective - m_times.expected(m_terms.answerService, answerTime, now);
     for (Piece &it : pieces) {
-        it.refusable = !m_plan.started();
+        it.refusable = m_terms.refusable && !m_plan.started();
         it.rank = m_terms.rank;
         it.deadline = m_terms.deadline;
         it.wantedBy = answerFrom;
--- a/Source/Batching/StageRun.h
+++ b/Source/Batching/StageRun.h
@@ -31,6 +31,7 @@
         Clock::TimePoint objective; ///< Of the whole request.
         Clock::TimePoint deadline;
         std::string answerService; ///< That answers the request after its stages.
+        bool refusable = true; ///< Whether the request may still be refused, since its caller has got nothing yet.
     };
 
     StageRun(PieceRouter &router, StageTimes &times, const Clock &clock, StagePlan plan, Terms terms, Cancellation &cancellation,
--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -114,7 +114,7 @@
         m_cancellation.cancel(RefusalCause::DeadlineUnreachable);
     };
     const DeadlineTimer timer(m_cancellation.strand(), m_deadline - answerMargin, giveUp);
-    const DeadlineTimer patience(m_cancellation.strand(), firstEventLimit(), [this, giveUp] {
+    const DeadlineTimer firstEvent(m_cancellation.strand(), firstEventLimit(), [this, giveUp] {
         if (!m_progress.begun) {
             giveUp();
         }
@@ -135,7 +135,13 @@
     if (!m_route->stages.empty() && !m_request.pieceCounts.empty()) {
         StagePlan plan(m_route->stages, m_request.pieceCounts, m_request.id, m_request.pieceKey);
         plan.setDestination(m_parts.fleet.likelyDataCentre(demand(), *m_service, m_parts.clock.now()));
-        StageRun::Terms terms{m_rank, m_objective, m_progress.begun ? m_deadline - answerMargin : firstEventLimit(), m_service->name};
+        StageRun::Terms terms{m_rank, m_objective, firstEventLimit(), m_service->name};
+        if (m_progress.begun) {
+            // A stream that goes on elsewhere has to do so before its caller leaves; its objective no longer matters.
+            terms.objective = std::min(m_deadline, m_parts.clock.now() + patience()) - answerMargin;
+            terms.deadline = terms.objective;
+            terms.refusable = false;
+        }
         m_stages = std::make_unique<StageRun>(m_parts.pieces, m_parts.times, m_parts.clock, std::move(plan), std::move(terms),
                                               m_cancellation, m_request.id);
     }
@@ -146,9 +152,12 @@
     if (m_route->rule != RunRule::Stream) {
         return m_deadline - answerMargin;
     }
-    const Milliseconds patience
-        = std::max({callerPatience, patienceInObjectives * m_route->objective, patienceInGaps * m_route->gapObjective});
-    return std::min(m_deadline, m_request.arrived + patience) - answerMargin;
+    return std::min(m_deadline, m_request.arrived + patience()) - answerMargin;
+}
+
+Milliseconds RelayJob::patience() const
+{
+    return std::max({callerPatience, patienceInObjectives * m_route->objective, patienceInGaps * m_route->gapObjective});
 }
 
 Asio::awaitable<bool> RelayJob::makeStages()
--- a/Source/Relay/RelayJob.h
+++ b/Source/Relay/RelayJob.h
@@ -69,6 +69,8 @@
     SendTerms sendTerms(const TargetPick &target) const;
     /// Returns the time by which an answer has to have begun, or its caller is gone.
     Clock::TimePoint firstEventLimit() const;
+    /// Returns for how long a caller stays with a stream that is silent.
+    std::chrono::milliseconds patience() const;
 
     std::chrono::milliseconds sinceArrival() const;
     std::chrono::milliseconds timeLeft() const;
--- a/Tests/Batching/StageRunTest.cpp
+++ b/Tests/Batching/StageRunTest.cpp
@@ -29,6 +29,7 @@
 class StageRunTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(StageRunTest);
+    CPPUNIT_TEST(stagesOfABegunStreamAreNotRefused);
     CPPUNIT_TEST(resultsBesideALatePieceAreFreed);
     CPPUNIT_TEST(resultsOfACancelledRequestAreFreed);
     CPPUNIT_TEST(resultsAfterTheEndGoBackToTheirOwner);
@@ -75,7 +76,7 @@
 
     /// A request with one stage of two pieces, asked of the daemon "owner".
     struct Setting {
-        Setting()
+        explicit Setting(bool refusable = true)
             : roster(member("self", 0.1))
             , site(Registry<Site>::instance().create("platform"))
             , fleet("self")
@@ -90,7 +91,7 @@
             roster.heard("owner", false, clock.now());
             const Clock::TimePoint soon = clock.now() + std::chrono::seconds(5);
             StagePlan plan({{"ledger", {}, 100}}, {2}, "r1", "key");
-            run.emplace(router, times, clock, std::move(plan), StageRun::Terms{1, soon, soon, "model"}, cancellation, "r1");
+            run.emplace(router, times, clock, std::move(plan), StageRun::Terms{1, soon, soon, "model", refusable}, cancellation, "r1");
             Asio::co_spawn(cancellation.strand(), run->run(), [this](const std::exception_ptr &, StageRun::End it) { end = it; });
             turn();
         }
@@ -131,6 +132,17 @@
     };
 
 public:
+    /// As when it goes on at another target after the first one broke off.
+    void stagesOfABegunStreamAreNotRefused()
+    {
+        const Setting begun(false);
+        const Setting first;
+        for (const std::size_t it : {0U, 1U}) {
+            CPPUNIT_ASSERT(!begun.transport.pieces.at(it).refusable);
+            CPPUNIT_ASSERT(first.transport.pieces.at(it).refusable);
+        }
+    }
+
     void resultsBesideALatePieceAreFreed()
     {
         Setting it;
