Spend no repeat on targets that were not reached; begin small after a failed call

A stage target behind a cut got a full batch at each look whether it was back; its pieces waited 300 ms each time, and four such tries failed the request.

A stage call that made no connection is no try of its pieces; the first call after a failed one carries one piece.

Tests: SiteTest::unreachableTargetsCostNoRepeat, failing with the old handler; BatchingTest::callsToATargetThatFailedBeginSmall.

--- a/Source/Batching/BatchOwner.cpp
+++ b/Source/Batching/BatchOwner.cpp
@@ -268,10 +268,14 @@
             continue;
         }
         const std::uint64_t room = worker->roomForCall(terms.roomBytes, now);
-        std::vector<BatchQueue::Entry> entries = service.queue.take(terms, {room, worker->target.dataCentre, targets}, now);
+        BatchTerms callTerms = terms;
+        callTerms.batchLimit = worker->callLimit(terms.batchLimit);
+        std::vector<BatchQueue::Entry> entries = service.queue.take(callTerms, {room, worker->target.dataCentre, targets}, now);
         if (!entries.empty()) {
-            const double full = static_cast<double>(service.queue.empty() ? terms.batchLimit : entries.size());
-            service.batch = service.batch == 0 ? full : service.batch + batchWeight * (full - service.batch);
+            if (callTerms.batchLimit == terms.batchLimit) {
+                const double full = static_cast<double>(service.queue.empty() ? terms.batchLimit : entries.size());
+                service.batch = service.batch == 0 ? full : service.batch + batchWeight * (full - service.batch);
+            }
             startCall(name, worker, std::move(entries), terms);
         }
     }
@@ -332,6 +336,7 @@
     worker->busy = false;
     if (answer && answer->status == 200) {
         worker->callEnded(now - start, expected, now);
+        worker->callAnswered();
         m_parts.metrics.distribution("stage_call_seconds").observe(now - start);
         answered(name, *worker, answer->body, terms, start);
     } else if (answer) {
@@ -438,11 +443,14 @@
                   {"first_request", worker.inFlight.empty() ? "" : worker.inFlight.front().piece.requestId}});
     std::vector<BatchQueue::Entry> entries = std::move(worker.inFlight);
     worker.inFlight.clear();
-    // A call that the target refused was no try; the target is left alone for a while. Other repeats come out of the budget.
-    const bool refused = end == TargetReport::End::Refused;
-    const bool repeat = refused || m_parts.budget.take(name, now);
+    // A call that the target refused, or that did not reach it, was no try. Other repeats come out of the budget.
+    const bool tried = end != TargetReport::End::Refused && end != TargetReport::End::Unreachable;
+    if (end != TargetReport::End::Refused) {
+        worker.callFailed();
+    }
+    const bool repeat = !tried || m_parts.budget.take(name, now);
     for (BatchQueue::Entry &it : entries) {
-        it.tries -= refused ? 1 : 0;
+        it.tries -= tried ? 0 : 1;
         requeue(name, std::move(it), repeat);
     }
 }
--- a/Source/Batching/BatchWorker.cpp
+++ b/Source/Batching/BatchWorker.cpp
@@ -50,6 +50,21 @@
     room.lacked(m_roomAtStart - std::min(m_roomAtStart, madeBytes), now, now + foreignTime);
 }
 
+std::size_t BatchWorker::callLimit(std::size_t batchLimit) const
+{
+    return m_doubtful ? std::min<std::size_t>(batchLimit, 1) : batchLimit;
+}
+
+void BatchWorker::callFailed()
+{
+    m_doubtful = true;
+}
+
+void BatchWorker::callAnswered()
+{
+    m_doubtful = false;
+}
+
 void BatchWorker::callEnded(Clock::Duration took, Clock::Duration expected, Clock::TimePoint now)
 {
     const double ratio = std::clamp(Seconds(took) / Seconds(expected), 1.0, mostSlowness);
--- a/Source/Batching/BatchWorker.h
+++ b/Source/Batching/BatchWorker.h
@@ -33,6 +33,14 @@
     /// The target had no room for a part of the call, and made results of so many bytes. Other results take its room for a time.
     void lackedRoom(std::uint64_t madeBytes, Clock::TimePoint now);
 
+    /// Returns how many pieces the next call may carry: one after a failed call, to learn whether the target is back.
+    std::size_t callLimit(std::size_t batchLimit) const;
+
+    void callFailed();
+
+    /// The target has answered a call in full.
+    void callAnswered();
+
     void callEnded(Clock::Duration took, Clock::Duration expected, Clock::TimePoint now);
 
     TargetPick target;
@@ -48,6 +56,7 @@
 
 private:
     std::uint64_t m_roomAtStart = 0; ///< When the call in progress began; the target judges its room then.
+    bool m_doubtful = false; ///< The last call failed.
     double m_slowness = 1.0;
     Clock::TimePoint m_lastCall{};
 };
--- a/Source/Relay/AttemptOutcome.h
+++ b/Source/Relay/AttemptOutcome.h
@@ -13,7 +13,8 @@
         Answered, ///< Head and body are whole and not yet given to the caller.
         Delivered, ///< The caller has the answer.
         CallerGone, ///< The caller's connection broke while the answer was given.
-        NotRun, ///< The target states that it did not run the request, or was not reached.
+        NotRun, ///< The target states that it did not run the request.
+        NotReached, ///< There was no connection to the target; nothing was sent.
         InputsGone, ///< It did not run the request, because a stage result is gone.
         Broken, ///< No whole answer; it may have run.
         Silent, ///< No beginning of an answer within the attempt's limit; it may have run.
--- a/Source/Relay/RelayAttempt.cpp
+++ b/Source/Relay/RelayAttempt.cpp
@@ -105,7 +105,7 @@
     const bool sent = co_await sendRequest();
     if (!sent) {
         co_return m_cancellation.cause() ? ended(AttemptOutcome::End::Cancelled, TargetReport::End::Cancelled)
-                                         : ended(AttemptOutcome::End::NotRun, TargetReport::End::Unreachable);
+                                         : ended(AttemptOutcome::End::NotReached, TargetReport::End::Unreachable);
     }
     std::optional<DeadlineTimer> silence;
     if (m_terms.silenceLimit) {
--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -289,9 +289,9 @@
     AttemptOutcome outcome = co_await attempt.run();
     m_parts.fleet.began(target->id, m_request.promptTokens);
     m_parts.fleet.ended(target->id, attempt.report(), m_service->coldTime, m_parts.clock.now());
-    static constexpr std::array<Handler, 9> handlers{&RelayJob::answered, &RelayJob::delivered,  &RelayJob::delivered,
-                                                     &RelayJob::notRun,   &RelayJob::inputsGone, &RelayJob::noAnswer,
-                                                     &RelayJob::noAnswer, &RelayJob::cut,        &RelayJob::cancelled};
+    static constexpr std::array<Handler, 10> handlers{
+        &RelayJob::answered,   &RelayJob::delivered, &RelayJob::delivered, &RelayJob::notRun, &RelayJob::notReached,
+        &RelayJob::inputsGone, &RelayJob::noAnswer,  &RelayJob::noAnswer,  &RelayJob::cut,    &RelayJob::cancelled};
     co_return co_await (this->*handlers.at(static_cast<std::size_t>(outcome.end)))(outcome);
 }
 
@@ -335,6 +335,19 @@
     co_return Next::Again;
 }
 
+Asio::awaitable<RelayJob::Next> RelayJob::notReached(AttemptOutcome &)
+{
+    // Nothing arrived at the service, so the budget of repeats is left alone.
+    m_tried.insert(m_lastTarget);
+    if (m_sends >= mostSends) {
+        m_refusal.retryAfter = comeBackSoon;
+        co_await refuse(ResultCode::NoTarget, "targets of service " + m_service->name + " cannot be reached");
+        co_return Next::Done;
+    }
+    noteRepeat("not-reached");
+    co_return Next::Again;
+}
+
 Asio::awaitable<RelayJob::Next> RelayJob::inputsGone(AttemptOutcome &)
 {
     if (!m_stages || m_sends > mostRestarts || !m_parts.budget.take(m_service->name, m_parts.clock.now())) {
--- a/Source/Relay/RelayJob.h
+++ b/Source/Relay/RelayJob.h
@@ -55,6 +55,7 @@
     boost::asio::awaitable<Next> answered(AttemptOutcome &outcome);
     boost::asio::awaitable<Next> delivered(AttemptOutcome &outcome);
     boost::asio::awaitable<Next> notRun(AttemptOutcome &outcome);
+    boost::asio::awaitable<Next> notReached(AttemptOutcome &outcome);
     boost::asio::awaitable<Next> inputsGone(AttemptOutcome &outcome);
     boost::asio::awaitable<Next> noAnswer(AttemptOutcome &outcome);
     boost::asio::awaitable<Next> cut(AttemptOutcome &outcome);
--- a/Tests/Batching/BatchingTest.cpp
+++ b/Tests/Batching/BatchingTest.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(foreignResultsTakeRoom);
     CPPUNIT_TEST(roomFreedDuringACallIsNotTakenForForeign);
     CPPUNIT_TEST(slowTargetsAreTriedAgainLater);
+    CPPUNIT_TEST(callsToATargetThatFailedBeginSmall);
     CPPUNIT_TEST(timesOfAQuietServiceReturnToUsual);
     CPPUNIT_TEST_SUITE_END();
 
@@ -287,6 +288,17 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(800), worker.room.left(1'000, m_now + Milliseconds(300)));
     }
 
+    void callsToATargetThatFailedBeginSmall()
+    {
+        BatchWorker worker({"t1", {"127.0.0.1", 1}, "north", "yard"});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(30), worker.callLimit(30));
+        worker.callFailed();
+        worker.callEnded(Milliseconds(1'500), Milliseconds(300), m_now); // As after a time-out.
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), worker.callLimit(30));
+        worker.callAnswered();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(30), worker.callLimit(30));
+    }
+
     void slowTargetsAreTriedAgainLater()
     {
         BatchWorker worker({"t1", {"127.0.0.1", 1}, "north", "yard"});
--- a/Tests/Site/SiteTest.cpp
+++ b/Tests/Site/SiteTest.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(whatMayNotRepeatRunsAtMostOnce);
     CPPUNIT_TEST(refusalsByTargetsAreTriedElsewhere);
     CPPUNIT_TEST(slowTargetsAreNotGivenUpWithoutARepeatInHand);
+    CPPUNIT_TEST(unreachableTargetsCostNoRepeat);
     CPPUNIT_TEST(idleConnectionsLeaveRoomForOthers);
     CPPUNIT_TEST(refusalsWithoutAConfigurationSayWhenToComeBack);
     CPPUNIT_TEST(streamsGetTheirStagesAndFreeThem);
@@ -164,6 +165,21 @@
         }
     }
 
+    /// A target of the plain service has a record and an address where nobody listens, as behind a cut.
+    void unreachableTargetsCostNoRepeat()
+    {
+        SiteFleet fleet(1);
+        fleet.store().put("keyed.servers", "plain-0",
+                          R"({"service":"plain","address":"127.0.0.1:9","zone":"north","state":"ready","cold_remaining_ms":0,"born":1})");
+        fleet.start();
+        SiteSettings settings;
+        settings.repeats = {0, 0, std::chrono::seconds(10)};
+        fleet.daemon(0).reload(settings);
+        for (int it = 0; it < 20; ++it) {
+            CPPUNIT_ASSERT_EQUAL(200U, fleet.ask(0, ask("/once/x", "v" + std::to_string(it))).status);
+        }
+    }
+
     /// The targets accept 8 connections from two daemons.
     void idleConnectionsLeaveRoomForOthers()
     {
