Look at sockets in one place

The check for a closed caller stood in RelaySession, HttpSession, Connection::reusable and the stand-ins; it is socketState now.

--- a/Fakes/FakeServer.cpp
+++ b/Fakes/FakeServer.cpp
@@ -1,5 +1,7 @@
 #include "FakeServer.h"
 
+#include "Net/SocketState.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -8,8 +10,6 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include <sys/socket.h>
-
 namespace Guavalock
 {
 
@@ -108,9 +108,7 @@
 
 bool FakeServer::closed(Socket &socket)
 {
-    char byte = 0;
-    const ssize_t n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n == 0 || (n < 0 && errno != EAGAIN);
+    return socketState(socket) == SocketState::Closed;
 }
 
 } // namespace Guavalock
--- a/Source/FrontEnds/HttpSession.cpp
+++ b/Source/FrontEnds/HttpSession.cpp
@@ -6,6 +6,7 @@
 #include "FrontEnds/HttpHandler.h"
 #include "Kernel/Counter.h"
 #include "Kernel/Metrics.h"
+#include "Net/SocketState.h"
 #include "Pipeline/Services.h"
 #include "Settings/ProcessSettings.h"
 
@@ -14,8 +15,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
 
-#include <sys/socket.h>
-
 namespace Guavalock
 {
 
@@ -141,7 +140,7 @@
 {
     const auto watch = std::make_shared<Watch>();
     auto readable = [this, watch, cancellation](const boost::system::error_code &ec) {
-        if (!ec && watch->live && callerClosed()) {
+        if (!ec && watch->live && socketState(m_socket) == SocketState::Closed) {
             cancellation->cancel(RefusalCause::CallerClosed);
         }
     };
@@ -149,11 +148,4 @@
     return watch;
 }
 
-bool HttpSession::callerClosed()
-{
-    char byte = 0;
-    const ssize_t n = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
 } // namespace Guavalock
--- a/Source/FrontEnds/HttpSession.h
+++ b/Source/FrontEnds/HttpSession.h
@@ -41,7 +41,6 @@
     boost::asio::awaitable<std::optional<Request>> readRequest(ResultCode &code);
     boost::asio::awaitable<void> refuse(ResultCode code);
     std::shared_ptr<Watch> watchForClose(const std::shared_ptr<Cancellation> &cancellation);
-    bool callerClosed();
 
     const Services &m_services;
     boost::asio::ip::tcp::socket m_socket;
--- a/Source/Net/Connection.cpp
+++ b/Source/Net/Connection.cpp
@@ -1,5 +1,7 @@
 #include "Net/Connection.h"
 
+#include "Net/SocketState.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -48,12 +50,7 @@
 
 bool Connection::reusable()
 {
-    if (!m_socket.is_open() || m_buffer.size() > 0) {
-        return false;
-    }
-    char byte = 0;
-    const ssize_t n = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return m_socket.is_open() && m_buffer.size() == 0 && socketState(m_socket) == SocketState::Quiet;
 }
 
 void Connection::close()
--- a/Source/Relay/RelaySession.cpp
+++ b/Source/Relay/RelaySession.cpp
@@ -7,6 +7,7 @@
 #include "FrontEnds/RefusalJson.h"
 #include "Kernel/Counter.h"
 #include "Kernel/Metrics.h"
+#include "Net/SocketState.h"
 #include "Relay/RelayCodec.h"
 #include "Relay/RelayJob.h"
 
@@ -19,8 +20,6 @@
 #include <boost/beast/http/status.hpp>
 #include <boost/json/serialize.hpp>
 
-#include <sys/socket.h>
-
 #include <array>
 #include <cstdio>
 
@@ -187,20 +186,13 @@
     auto watch = std::make_shared<Watch>();
     m_socket.async_wait(Asio::ip::tcp::socket::wait_read,
                         Asio::bind_executor(m_socket.get_executor(), [this, watch, cancellation](const boost::system::error_code &ec) {
-                            if (!ec && watch->live && callerClosed()) {
+                            if (!ec && watch->live && socketState(m_socket) == SocketState::Closed) {
                                 cancellation->cancel(RefusalCause::CallerClosed);
                             }
                         }));
     return watch;
 }
 
-bool RelaySession::callerClosed()
-{
-    char byte = 0;
-    const ssize_t n = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
 std::string RelaySession::headText(unsigned status, const HttpFields &fields) const
 {
     const auto reason = Http::obsolete_reason(static_cast<Http::status>(status));
--- a/Source/Relay/RelaySession.h
+++ b/Source/Relay/RelaySession.h
@@ -58,7 +58,6 @@
     boost::asio::awaitable<bool> refuseInput(ResultCode code, std::string reason);
     boost::asio::awaitable<bool> write(std::string text);
     std::shared_ptr<Watch> watchForClose(const std::shared_ptr<Cancellation> &cancellation);
-    bool callerClosed();
     std::string headText(unsigned status, const HttpFields &fields) const;
     bool closing() const;
 
--- a/Tests/Soak/SoakClient.cpp
+++ b/Tests/Soak/SoakClient.cpp
@@ -1,11 +1,11 @@
 #include "SoakClient.h"
 
+#include "Net/SocketState.h"
+
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include <sys/socket.h>
-
 namespace Guavalock
 {
 
@@ -30,9 +30,7 @@
 bool SoakClient::connected()
 {
     if (m_socket && m_socket->is_open()) {
-        char byte = 0;
-        const ssize_t n = ::recv(m_socket->native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        if (n < 0 && errno == EAGAIN) {
+        if (socketState(*m_socket) == SocketState::Quiet) {
             return true;
         }
     }
