Read numbers from outside within their range

Cause: found by a seeded fuzz of the codecs. A whole number that is negative or has a fraction, as a stage's "after" or the peers' port, threw out of the codec and would have ended the process; a stage that needs one that is not there, itself or a later one that needs it back ended it at the first request; a batch of no pieces divided by zero; times and sizes beyond the range of their type were undefined. A caller could state four thousand million pieces of a stage, each of which was given memory.

SiteTest::inputBeyondTheLimitsIsRefused has the piece count.

--- a/Source/Fleet/Catalogue.cpp
+++ b/Source/Fleet/Catalogue.cpp
@@ -3,10 +3,45 @@
 #include "Decisions/Hash.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace Guavalock
 {
 
+namespace
+{
+
+/// Returns whether the stages can be made one after the other.
+bool acyclic(const std::vector<StageNode> &stages)
+{
+    std::vector<bool> made(stages.size(), false);
+    for (std::size_t rounds = 0; rounds < stages.size(); ++rounds) {
+        for (std::size_t it = 0; it < stages.size(); ++it) {
+            made[it] = std::ranges::all_of(stages[it].after, [&](std::size_t before) { return before < made.size() && made[before]; });
+        }
+    }
+    return std::ranges::all_of(made, std::identity());
+}
+
+} // namespace
+
+bool Catalogue::valid(const Content &content, Reason &reason)
+{
+    for (const RouteRecord &route : content.routes) {
+        if (!acyclic(route.stages)) {
+            reason = {ResultCode::SettingsInvalid, "route " + route.name + ": its stages need one another or one that is not there"};
+            return false;
+        }
+    }
+    for (const ServiceRecord &service : content.services) {
+        if (service.batch && service.batch->batchLimit == 0) {
+            reason = {ResultCode::SettingsInvalid, "service " + service.name + ": a call has to carry a piece at least"};
+            return false;
+        }
+    }
+    return true;
+}
+
 Catalogue::Catalogue(Content content)
     : m_content(std::move(content))
 {
--- a/Source/Fleet/Catalogue.h
+++ b/Source/Fleet/Catalogue.h
@@ -4,6 +4,7 @@
 #include "Fleet/OrganisationRecord.h"
 #include "Fleet/RouteRecord.h"
 #include "Fleet/ServiceRecord.h"
+#include "Kernel/Reason.h"
 
 #include <cstdint>
 #include <map>
@@ -26,6 +27,9 @@
         CallerLimits limits;
     };
 
+    /// Returns whether requests can be served by the content; otherwise the reason names what stands against it.
+    static bool valid(const Content &content, Reason &reason);
+
     explicit Catalogue(Content content);
 
     std::uint64_t version() const;
--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -43,6 +43,7 @@
 constexpr std::uint64_t bytesForToken = 2'800; ///< Crossing data centres that cost as much as one prompt token read again.
 constexpr int silenceInLatencies = 3; ///< Silence for this many times the target's usual time means that something is wrong.
 constexpr unsigned mostSends = 8; ///< Sends that reach no target or are refused; beyond that the service has no room.
+constexpr std::size_t mostPieces = 1'000; ///< Of a stage; many full calls, and what a caller can make us hold.
 constexpr unsigned mostRestarts = 2; ///< Times that stages are made again for one request.
 
 } // namespace
@@ -86,6 +87,9 @@
     if (m_service == nullptr) {
         return refuseLater(ResultCode::NoTarget, RunState::No, "the route's service " + service + " is not configured");
     }
+    if (std::ranges::any_of(m_request.pieceCounts, [](std::size_t it) { return it > mostPieces; })) {
+        return refuseLater(ResultCode::MalformedRequest, RunState::No, "a stage of more than " + std::to_string(mostPieces) + " pieces");
+    }
     m_rank = m_organisation != nullptr && m_organisation->rank ? *m_organisation->rank : m_route->rank;
     const Milliseconds wait = std::min(m_route->timeout, m_request.deadline.value_or(m_route->timeout));
     m_deadline = m_request.arrived + wait;
--- /dev/null
+++ b/Tests/Site/FuzzTest.cpp
@@ -0,0 +1,193 @@
+#include "Batching/StageCodec.h"
+#include "Fleet/Catalogue.h"
+#include "Fleet/RecordCodec.h"
+#include "Kernel/Registry.h"
+#include "Relay/EventSplitter.h"
+#include "Relay/RelayCodec.h"
+#include "Site/Site.h"
+
+#include <boost/beast/http/fields.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+
+namespace Guavalock
+{
+
+namespace Http = boost::beast::http;
+
+/// Damaged input from outside, the same on every run: nothing may throw, and what is read has to be in its range.
+class FuzzTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FuzzTest);
+    CPPUNIT_TEST(damagedTargetRecordsAreRefusedOrHarmless);
+    CPPUNIT_TEST(damagedConfigurationsAreRefusedOrHarmless);
+    CPPUNIT_TEST(damagedBatchAnswersAreRefusedOrHarmless);
+    CPPUNIT_TEST(damagedHeadersAreRefusedOrHarmless);
+    CPPUNIT_TEST(eventsKeepTheirBytesHoweverTheyArrive);
+    CPPUNIT_TEST(keptFindings);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr unsigned seed = 20'261'204;
+    static constexpr int rounds = 4'000;
+
+    std::unique_ptr<Site> m_site = Registry<Site>::instance().create("platform");
+    std::mt19937 m_random{seed};
+
+    static const std::string &target()
+    {
+        static const std::string text
+            = R"({"service":"plain","address":"10.1.2.3:8080","zone":"north","state":"ready","capacity":64,"cold_remaining_ms":250,"born":1767225600000,"sequence":4})";
+        return text;
+    }
+
+    static const std::string &configuration()
+    {
+        static const std::string text
+            = R"({"version":7,"routes":[{"name":"r","hostname":"h","path_prefix":"/a/","type":"streaming","timeout_ms":8000,"target_latency_ms":2000,"priority":1,"backends":[{"service":"m","weight":90},{"service":"n","weight":10}],"max_attempts":1,"phases":[{"service":"s","after":[],"byte_count":1500000},{"service":"s","after":[0],"byte_count":8000}],"session_affinity":true,"gap_target_ms":300}],"services":[{"name":"m","max_connections":420,"cold_start_s":3.0,"cold_per_s":9.6},{"name":"s","fragments":{"capacity":1,"queue":2,"batch":12,"call_ms":200.0,"item_ms":14.0,"headroom_mb":27.0,"handle_s":4.0}}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"t","api_keys":["k"],"priority":1}]})";
+        return text;
+    }
+
+    std::size_t below(std::size_t n)
+    {
+        return m_random() % n;
+    }
+
+    /// Returns the text with a few bytes changed, a part left out, or a value replaced by one that a writer of another kind might put.
+    std::string damaged(std::string text)
+    {
+        static const std::vector<std::string> values{"-1",  "1e300", "1.5", "null", "true", "\"\"", "[]", "{}", "99999999999999999999",
+                                                     "-0.5"};
+        for (std::size_t n = 1 + below(3); n > 0; --n) {
+            switch (below(4)) {
+            case 0:
+                text[below(text.size())] = static_cast<char>(m_random());
+                break;
+            case 1:
+                text.erase(below(text.size()), 1 + below(8));
+                break;
+            case 2:
+                text.insert(below(text.size()), std::string(1 + below(4), static_cast<char>(m_random())));
+                break;
+            default:
+                replaceValue(text, values[below(values.size())]);
+            }
+            text += text.empty() ? "x" : "";
+        }
+        return text;
+    }
+
+    void replaceValue(std::string &text, const std::string &value)
+    {
+        const std::size_t colon = text.find(':', below(text.size()));
+        const std::size_t end = colon == std::string::npos ? colon : text.find_first_of(",}]", colon);
+        if (end != std::string::npos) {
+            text.replace(colon + 1, end - colon - 1, value);
+        }
+    }
+
+    void readConfiguration(const std::string &text) const
+    {
+        Reason reason;
+        const auto change = m_site->recordCodec().operatorChange("config", text, reason);
+        const auto *catalogue = change ? std::get_if<std::shared_ptr<const Catalogue>>(&*change) : nullptr;
+        if (catalogue != nullptr) {
+            (*catalogue)->route("h", "/a/b");
+            const ServiceRecord *service = (*catalogue)->service("s");
+            CPPUNIT_ASSERT(service == nullptr || !service->batch || service->batch->batchLimit > 0);
+        } else {
+            CPPUNIT_ASSERT(!reason.text.empty());
+        }
+    }
+
+public:
+    void damagedTargetRecordsAreRefusedOrHarmless()
+    {
+        for (int it = 0; it < rounds; ++it) {
+            Reason reason;
+            const auto record = m_site->recordCodec().target("i-1", damaged(target()), reason);
+            CPPUNIT_ASSERT(record ? record->coldRemaining >= std::chrono::milliseconds::zero() : !reason.text.empty());
+        }
+    }
+
+    void damagedConfigurationsAreRefusedOrHarmless()
+    {
+        for (int it = 0; it < rounds; ++it) {
+            readConfiguration(damaged(configuration()));
+        }
+    }
+
+    void damagedBatchAnswersAreRefusedOrHarmless()
+    {
+        for (int it = 0; it < rounds; ++it) {
+            const auto made = m_site->stageCodec().batchAnswer(
+                damaged(R"({"entries":[{"handle":"10.1.64.7:8080/91bd3f06e44"},{"reason":"gone"}]})"), 2);
+            CPPUNIT_ASSERT(!made || made->size() == 2);
+            for (const StageCodec::Made &result : made.value_or(std::vector<StageCodec::Made>())) {
+                m_site->stageCodec().maker(result.handle);
+            }
+        }
+    }
+
+    void damagedHeadersAreRefusedOrHarmless()
+    {
+        const std::vector<std::pair<std::string, std::string>> fields{{"Host", "h"},
+                                                                      {"X-Guavalock-Attempt-Id", "9c41d07be2a35f68"},
+                                                                      {"X-Guavalock-Token-Usage", "1460,80"},
+                                                                      {"X-Guavalock-Prefix-Hash", "5c1e07a2:800,91bd3f06:410"},
+                                                                      {"X-Guavalock-Deadline-Ms", "8000"},
+                                                                      {"X-Guavalock-Chunk-Count", "1,3"},
+                                                                      {"X-Guavalock-Instance-Load", "3,0,8"}};
+        for (int it = 0; it < rounds; ++it) {
+            Http::request_header<> request;
+            Http::response_header<> answer;
+            request.method(Http::verb::post);
+            request.target("/a/b");
+            for (const auto &[name, value] : fields) {
+                std::string text = damaged(value);
+                std::erase_if(text, [](unsigned char c) { return c < ' '; });
+                request.set(name, text);
+                answer.set(name, text);
+            }
+            Reason reason;
+            const auto read = m_site->relayCodec().request(request, reason);
+            CPPUNIT_ASSERT(read || !reason.text.empty());
+            m_site->relayCodec().answer(answer);
+        }
+    }
+
+    void eventsKeepTheirBytesHoweverTheyArrive()
+    {
+        for (int it = 0; it < rounds / 10; ++it) {
+            std::string sent;
+            for (std::size_t n = 1; n <= 1 + below(6); ++n) {
+                sent += "id: " + std::to_string(n) + "\ndata: " + std::string(below(40), 'x') + "\n\n";
+            }
+            EventSplitter splitter;
+            std::string got;
+            for (std::size_t at = 0; at < sent.size();) {
+                const std::size_t n = 1 + below(9);
+                got += splitter.take(std::string_view(sent).substr(at, n));
+                at += n;
+            }
+            CPPUNIT_ASSERT_EQUAL(sent, got);
+            CPPUNIT_ASSERT(!splitter.partial());
+        }
+    }
+
+    /// Input that has once broken something.
+    void keptFindings()
+    {
+        for (const std::string after : {"[-1]", "[1.5]", "[7]", "[1e300]"}) {
+            std::string text = configuration();
+            const std::string old = R"("after":[0])";
+            text.replace(text.find(old), old.size(), "\"after\":" + after);
+            readConfiguration(text);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FuzzTest);
+
+} // namespace Guavalock
--- a/Tests/Site/SiteTest.cpp
+++ b/Tests/Site/SiteTest.cpp
@@ -418,6 +418,9 @@
         const unsigned status = fleet.ask(0, body).status;
         CPPUNIT_ASSERT(status == 413 || status == 0);
         CPPUNIT_ASSERT_EQUAL(400U, fleet.ask(0, ask("/safe/x", "")).status);
+        SiteFleet::Ask pieces = staged("m3");
+        pieces.headers.front().second = "1,4000000000";
+        CPPUNIT_ASSERT_EQUAL(400U, fleet.ask(0, pieces).status);
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), runs(fleet, "m1") + runs(fleet, "m2"));
     }
 };
