Split the delivery of results off the batch owner; tell once why settings are refused

What an owner cannot deliver is now the ResultOutbox's, with a test of its own (BatchingTest::resultsWaitForABrokenLink): the logic had none. A settings file that changed without a signal and cannot be read was passed over in silence; the reason is logged once.

--- a/Source/Batching/BatchOwner.cpp
+++ b/Source/Batching/BatchOwner.cpp
@@ -37,7 +37,6 @@
 constexpr Milliseconds sweepInterval{50}; ///< For pieces that wait for a near target, for a refusal's end or past their deadline.
 constexpr Milliseconds refusalHold{120}; ///< After a target has refused a call: half of a call's time.
 constexpr Milliseconds callSlack{400}; ///< On top of twice the expected time, before a call counts as lost.
-constexpr Milliseconds deliveryLimit{1'500}; ///< For results whose daemon cannot be reached; a broken link is dialled again within it.
 constexpr unsigned mostTries = 4; ///< Calls that one piece may be in; beyond that its request has missed its objective.
 constexpr double batchWeight = 0.1; ///< Of one call in the running batch size: about two calls of each target.
 constexpr double waitInCall = 0.1; ///< Until the next target is idle, in calls, when several are busy.
@@ -56,10 +55,10 @@
 
 } // namespace
 
-BatchOwner::BatchOwner(Asio::any_io_executor executor, Parts parts, Deliver deliver)
+BatchOwner::BatchOwner(Asio::any_io_executor executor, Parts parts, ResultOutbox::Deliver deliver)
     : m_strand(Asio::make_strand(std::move(executor)))
     , m_parts(parts)
-    , m_deliver(std::move(deliver))
+    , m_outbox(std::move(deliver))
     , m_sweepTimer(m_strand)
 {
     Asio::co_spawn(m_strand, sweep(), Asio::detached);
@@ -91,7 +90,7 @@
                 give(it.origin, {it.piece.number, PieceResult::End::Moved, {}, {}});
             }
         }
-        giveAll();
+        deliverResults();
     });
 }
 
@@ -123,7 +122,7 @@
             names.push_back(name);
         }
     }
-    giveAll();
+    deliverResults();
     for (const std::string &it : names) {
         pump(it);
     }
@@ -309,7 +308,7 @@
             give(it.origin, {it.piece.number, PieceResult::End::Taken, {}, {}});
         }
     }
-    giveAll();
+    deliverResults();
 }
 
 Asio::awaitable<void> BatchOwner::call(std::string name, std::shared_ptr<BatchWorker> worker, BatchTerms terms)
@@ -350,7 +349,7 @@
     } else {
         failed(name, *worker, TargetReport::End::Broken);
     }
-    giveAll();
+    deliverResults();
     if (!m_stopped) {
         pump(name);
     }
@@ -470,38 +469,13 @@
 void BatchOwner::give(const std::string &origin, PieceResult result)
 {
     if (!origin.empty()) {
-        const auto it = m_results.try_emplace(origin, Results{{}, m_parts.clock.now()}).first;
-        it->second.list.push_back(std::move(result));
+        m_outbox.add(origin, std::move(result), m_parts.clock.now());
     }
 }
 
-void BatchOwner::giveAll()
+void BatchOwner::deliverResults()
 {
-    const Clock::TimePoint now = m_parts.clock.now();
-    for (auto it = m_results.begin(); it != m_results.end();) {
-        const auto &[origin, results] = *it;
-        const bool delivered = m_deliver(origin, results.list);
-        if (!delivered && now - results.since < deliveryLimit) {
-            ++it;
-            continue;
-        }
-        if (!delivered) {
-            discard(origin, results.list);
-        }
-        it = m_results.erase(it);
-    }
-}
-
-void BatchOwner::discard(const std::string &origin, const std::vector<PieceResult> &results)
-{
-    Log::warning("batching", "results-undelivered", {{"peer", origin}, {"results", std::to_string(results.size())}});
-    std::vector<std::string> handles;
-    for (const PieceResult &it : results) {
-        if (!it.handle.empty()) {
-            handles.push_back(it.handle);
-        }
-    }
-    free(handles);
+    free(m_outbox.flush(m_parts.clock.now()));
 }
 
 Asio::awaitable<void> BatchOwner::sweep()
@@ -519,7 +493,7 @@
             }
             pump(name);
         }
-        giveAll();
+        deliverResults();
     }
 }
 
--- a/Source/Batching/BatchOwner.h
+++ b/Source/Batching/BatchOwner.h
@@ -2,6 +2,7 @@
 
 #include "Batching/BatchQueue.h"
 #include "Batching/PieceResult.h"
+#include "Batching/ResultOutbox.h"
 #include "Batching/StageCodec.h"
 #include "Fleet/BatchTerms.h"
 #include "Fleet/TargetReport.h"
@@ -10,7 +11,6 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -32,9 +32,6 @@
 class BatchOwner
 {
 public:
-    /// Takes results back to the daemon that asked. Returns false when it cannot be reached now.
-    using Deliver = std::function<bool(const std::string &origin, const std::vector<PieceResult> &)>;
-
     struct Parts {
         const Clock &clock;
         CatalogueTable &catalogue;
@@ -44,7 +41,7 @@
         Metrics &metrics;
     };
 
-    BatchOwner(boost::asio::any_io_executor executor, Parts parts, Deliver deliver);
+    BatchOwner(boost::asio::any_io_executor executor, Parts parts, ResultOutbox::Deliver deliver);
     ~BatchOwner();
 
     void submit(std::string origin, std::vector<Piece> pieces);
@@ -63,12 +60,6 @@
 private:
     using Workers = std::map<std::string, std::shared_ptr<BatchWorker>>;
 
-    /// For one daemon.
-    struct Results {
-        std::vector<PieceResult> list;
-        Clock::TimePoint since; ///< The oldest.
-    };
-
     struct Service {
         BatchQueue queue;
         Workers workers; ///< By the target's id.
@@ -98,16 +89,15 @@
     void failed(const std::string &name, BatchWorker &worker, TargetReport::End end);
     void requeue(const std::string &name, BatchQueue::Entry entry, bool repeat);
     void give(const std::string &origin, PieceResult result);
-    void giveAll();
-    void discard(const std::string &origin, const std::vector<PieceResult> &results);
+    /// Delivers what was given in the current step, and what could not be delivered before.
+    void deliverResults();
     boost::asio::awaitable<void> freeLater(std::shared_ptr<BatchWorker> worker);
     boost::asio::awaitable<void> sweep();
 
     boost::asio::any_io_executor m_strand;
     Parts m_parts;
-    Deliver m_deliver;
     std::map<std::string, Service> m_services;
-    std::map<std::string, Results> m_results; ///< To be delivered at the end of the current step, by daemon.
+    ResultOutbox m_outbox;
     boost::asio::steady_timer m_sweepTimer;
     bool m_handingOver = false;
     bool m_stopped = false;
--- /dev/null
+++ b/Source/Batching/ResultOutbox.cpp
@@ -0,0 +1,51 @@
+#include "Batching/ResultOutbox.h"
+
+#include "Kernel/Log.h"
+
+#include <utility>
+
+namespace Guavalock
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds deliveryLimit{1'500}; ///< A broken link is dialled again within it.
+
+} // namespace
+
+ResultOutbox::ResultOutbox(Deliver deliver)
+    : m_deliver(std::move(deliver))
+{
+}
+
+void ResultOutbox::add(const std::string &origin, PieceResult result, Clock::TimePoint now)
+{
+    const auto it = m_results.try_emplace(origin, Results{{}, now}).first;
+    it->second.list.push_back(std::move(result));
+}
+
+std::vector<std::string> ResultOutbox::flush(Clock::TimePoint now)
+{
+    std::vector<std::string> unused;
+    for (auto it = m_results.begin(); it != m_results.end();) {
+        const auto &[origin, results] = *it;
+        const bool delivered = m_deliver(origin, results.list);
+        if (!delivered && now - results.since < deliveryLimit) {
+            ++it;
+            continue;
+        }
+        if (!delivered) {
+            Log::warning("batching", "results-undelivered", {{"peer", origin}, {"results", std::to_string(results.list.size())}});
+            for (const PieceResult &result : results.list) {
+                if (!result.handle.empty()) {
+                    unused.push_back(result.handle);
+                }
+            }
+        }
+        it = m_results.erase(it);
+    }
+    return unused;
+}
+
+} // namespace Guavalock
--- a/Source/Daemon/main.cpp
+++ b/Source/Daemon/main.cpp
@@ -79,12 +79,14 @@
     const sigset_t signals = blockStopSignals();
     Log::start(settings->self.vm);
     SiteDaemon daemon(*site, *settings);
+    std::string refused; // Why the file was last refused; said once while nobody asks.
     return serve(daemon, signals, [&](bool asked) {
         Reason reloadReason;
         const std::optional<SiteSettings> renewed = site->settings({}, reloadReason);
-        if (!renewed && asked) {
+        if (!renewed && (asked || reloadReason.text != refused)) {
             Log::warning("daemon", "reload-refused", {{"reason", reloadReason.text}});
         }
+        refused = renewed ? std::string() : reloadReason.text;
         if (renewed && (asked || *renewed != *settings)) {
             settings = renewed;
             daemon.reload(*renewed);
--- a/Tests/Batching/BatchingTest.cpp
+++ b/Tests/Batching/BatchingTest.cpp
@@ -1,5 +1,6 @@
 #include "Batching/BatchQueue.h"
 #include "Batching/BatchWorker.h"
+#include "Batching/ResultOutbox.h"
 #include "Batching/ResultRoom.h"
 #include "Batching/StagePlan.h"
 #include "Batching/StageTimes.h"
@@ -27,6 +28,7 @@
     CPPUNIT_TEST(roomComesBackWhenFreedOrExpired);
     CPPUNIT_TEST(foreignResultsTakeRoom);
     CPPUNIT_TEST(roomFreedDuringACallIsNotTakenForForeign);
+    CPPUNIT_TEST(resultsWaitForABrokenLink);
     CPPUNIT_TEST(slowTargetsAreTriedAgainLater);
     CPPUNIT_TEST(callsToATargetThatFailedBeginSmall);
     CPPUNIT_TEST(timesOfAQuietServiceReturnToUsual);
@@ -299,6 +301,28 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(30), worker.callLimit(30));
     }
 
+    void resultsWaitForABrokenLink()
+    {
+        bool linked = false;
+        std::size_t delivered = 0;
+        ResultOutbox outbox([&](const std::string &, const std::vector<PieceResult> &results) {
+            delivered += linked ? results.size() : 0;
+            return linked;
+        });
+        outbox.add("vm", {1, PieceResult::End::Made, "h1", "north"}, m_now);
+        CPPUNIT_ASSERT(outbox.flush(m_now + Milliseconds(1'000)).empty());
+        linked = true;
+        CPPUNIT_ASSERT(outbox.flush(m_now + Milliseconds(1'100)).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), delivered);
+        linked = false;
+        outbox.add("vm", {2, PieceResult::End::Made, "h2", "north"}, m_now);
+        outbox.add("vm", {3, PieceResult::End::Late, "", ""}, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::string("h2"), outbox.flush(m_now + Milliseconds(1'501)).at(0));
+        linked = true;
+        CPPUNIT_ASSERT(outbox.flush(m_now + Milliseconds(1'600)).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), delivered);
+    }
+
     void slowTargetsAreTriedAgainLater()
     {
         BatchWorker worker({"t1", {"127.0.0.1", 1}, "north", "yard"});
