Decide once which routes reuse connections, and look up batch terms once

Whether a route's requests take idle connections was decided in RelayAttempt and again in RelayJob; the terms of a service's calls were looked up alike in two members of BatchOwner; the read terms of a topic three times; and the near targets were counted on each pass, also when no target was idle.

Change: RouteRecord::reusesConnections, BatchOwner::batchTerms, readTermsOf, and an early return. No behaviour changes.

--- a/Source/Batching/BatchOwner.cpp
+++ b/Source/Batching/BatchOwner.cpp
@@ -128,15 +128,21 @@
     }
 }
 
-bool BatchOwner::hopeless(const Piece &piece, Clock::TimePoint now)
+std::optional<BatchTerms> BatchOwner::batchTerms(const std::string &service) const
 {
     const std::shared_ptr<const Catalogue> catalogue = m_parts.catalogue.current();
-    const ServiceRecord *record = catalogue ? catalogue->service(piece.service) : nullptr;
+    const ServiceRecord *record = catalogue ? catalogue->service(service) : nullptr;
+    return record == nullptr ? std::nullopt : record->batch;
+}
+
+bool BatchOwner::hopeless(const Piece &piece, Clock::TimePoint now)
+{
+    const std::optional<BatchTerms> found = batchTerms(piece.service);
     Service &service = m_services[piece.service];
-    if (record == nullptr || !record->batch || service.queue.empty()) {
+    if (!found || service.queue.empty()) {
         return false;
     }
-    const BatchTerms &terms = *record->batch;
+    const BatchTerms &terms = *found;
     const std::size_t targets = std::max<std::size_t>(m_parts.fleet.usable(piece.service, now).size(), 1);
     // Room for results may keep calls below the batch limit.
     const double batch = service.batch > 0 ? service.batch : static_cast<double>(terms.batchLimit);
@@ -244,15 +250,17 @@
 
 void BatchOwner::pump(const std::string &name)
 {
-    const std::shared_ptr<const Catalogue> catalogue = m_parts.catalogue.current();
-    const ServiceRecord *record = catalogue ? catalogue->service(name) : nullptr;
+    const std::optional<BatchTerms> found = batchTerms(name);
     Service &service = m_services[name];
-    if (record == nullptr || !record->batch || service.queue.empty()) {
+    if (!found || service.queue.empty()) {
         return;
     }
-    const BatchTerms &terms = *record->batch;
+    const BatchTerms &terms = *found;
     const Clock::TimePoint now = m_parts.clock.now();
     const auto idle = idleWorkers(service, name, now);
+    if (idle.empty()) {
+        return;
+    }
     std::map<std::string, std::size_t> targets;
     for (const auto &[id, worker] : service.workers) {
         ++targets[worker->target.dataCentre];
--- a/Source/Batching/BatchOwner.h
+++ b/Source/Batching/BatchOwner.h
@@ -13,6 +13,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -67,6 +68,10 @@
     };
 
     void add(const std::string &origin, std::vector<Piece> pieces);
+
+    /// Returns how a service's targets take calls, or nothing when it has no stages.
+    std::optional<BatchTerms> batchTerms(const std::string &service) const;
+
     /// Returns whether a piece that begins a request's stages would come too late after what waits already.
     bool hopeless(const Piece &piece, Clock::TimePoint now);
 
--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -47,6 +47,11 @@
     ReadTerms{Milliseconds(1'000), Milliseconds(1'800), Milliseconds(500), Milliseconds(500), Milliseconds(1'200)},
     ReadTerms{Milliseconds(2'000), Milliseconds(3'000), Milliseconds(2'000), Milliseconds(2'000), Milliseconds(6'000)}};
 
+const ReadTerms &readTermsOf(Topic topic)
+{
+    return readTerms.at(static_cast<std::size_t>(topic));
+}
+
 constexpr Milliseconds peerTimeout{150}; ///< For its answer, which takes a round trip.
 constexpr Milliseconds callTimeout{1'500}; ///< For calls that the store answers at once.
 constexpr Milliseconds firstPause{150}; ///< Between tries while the store does not answer.
@@ -106,7 +111,7 @@
 Asio::awaitable<void> FleetFollower::follow(Topic topic)
 {
     const std::unique_ptr<RecordStore> store = m_makeStore(m_strand);
-    const ReadTerms &terms = readTerms.at(static_cast<std::size_t>(topic));
+    const ReadTerms &terms = readTermsOf(topic);
     Backoff backoff(firstPause, longestPause);
     Asio::steady_timer timer(m_strand);
     bool forgotten = false;
@@ -152,7 +157,7 @@
 
 Asio::awaitable<bool> FleetFollower::readOn(RecordStore &store, Topic topic, bool &forgotten)
 {
-    const ReadTerms &terms = readTerms.at(static_cast<std::size_t>(topic));
+    const ReadTerms &terms = readTermsOf(topic);
     const std::uint64_t from = m_parts.mirror.progress(topic).next;
     const RecordStore::Read read = co_await store.read(topic, from, terms.wait, terms.timeout);
     if (read.end == RecordStore::ReadEnd::Forgotten) {
@@ -179,7 +184,7 @@
     }
     Asio::steady_timer timer(m_strand, peerTimeout);
     co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
-    co_return m_parts.mirror.progress(topic).confirmed > m_parts.clock.now() - readTerms.at(static_cast<std::size_t>(topic)).peerFreshness;
+    co_return m_parts.mirror.progress(topic).confirmed > m_parts.clock.now() - readTermsOf(topic).peerFreshness;
 }
 
 void FleetFollower::apply(Topic topic, const std::vector<KeyedRecord> &records)
--- a/Source/Fleet/RouteRecord.h
+++ b/Source/Fleet/RouteRecord.h
@@ -28,6 +28,13 @@
     std::vector<std::pair<std::string, unsigned>> services; ///< Name and weight.
     std::vector<StageNode> stages;
 
+    /// Returns whether requests may take idle connections: a target may close one while a request is on its way, so what may not be
+    /// repeated gets a new one.
+    bool reusesConnections() const
+    {
+        return rule == RunRule::Idempotent;
+    }
+
     bool repeatable() const
     {
         return rule == RunRule::Idempotent || (rule == RunRule::Stream && resumable);
--- a/Source/Relay/RelayAttempt.cpp
+++ b/Source/Relay/RelayAttempt.cpp
@@ -88,10 +88,8 @@
 
 Asio::awaitable<bool> RelayAttempt::sendRequest()
 {
-    // A target may close an idle connection while a request is on its way, so what may not be repeated gets a new one.
-    const bool mayReuse = m_terms.route.rule == RunRule::Idempotent;
     const Clock::TimePoint until = m_parts.clock.now() + connectTimeout;
-    const bool open = co_await m_exchange.open(m_terms.target.address, mayReuse, until);
+    const bool open = co_await m_exchange.open(m_terms.target.address, m_terms.route.reusesConnections(), until);
     if (!open) {
         co_return false;
     }
--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -278,8 +278,7 @@
     const auto mayGiveUp = [this] {
         return m_parts.budget.take(m_service->name, m_parts.clock.now());
     };
-    // Only what may be repeated takes idle connections, so nothing else leaves any.
-    const std::size_t mostIdle = m_route->rule == RunRule::Idempotent ? m_parts.connectionShare.idle(m_service->connectionLimit) : 0;
+    const std::size_t mostIdle = m_route->reusesConnections() ? m_parts.connectionShare.idle(m_service->connectionLimit) : 0;
     RelayAttempt attempt(m_parts, {m_request, *m_route, *target, sendTerms(*target), mostIdle, silence, mayGiveUp}, m_progress, m_sink,
                          m_cancellation);
     attempt.onBegun([this, &target] {
