Run tests of two processes side by side

Cause: the fakes of the tests listen at fixed ports of 127.0.0.1, so two runs on one machine met ("Address already in use", seen once). Change: a test process uses a loopback address derived from its process id. The demo and the soak keep 127.0.0.1.

--- a/Fakes/FakeFleetTarget.cpp
+++ b/Fakes/FakeFleetTarget.cpp
@@ -1,5 +1,7 @@
 #include "FakeFleetTarget.h"
 
+#include "FakeAddress.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -243,7 +245,7 @@
         ++m_batchCount;
         m_maxBatchSize = std::max(m_maxBatchSize, entries.size());
         for (std::size_t it = 0; it < entries.size(); ++it) {
-            const std::string handle = "127.0.0.1:" + std::to_string(m_port) + "/" + std::to_string(++m_lastResultNumber);
+            const std::string handle = FakeAddress::text() + ":" + std::to_string(m_port) + "/" + std::to_string(++m_lastResultNumber);
             m_storedResults.insert(handle);
             Json::object result;
             result["handle"] = handle;
--- a/Fakes/FakeServer.cpp
+++ b/Fakes/FakeServer.cpp
@@ -1,5 +1,7 @@
 #include "FakeServer.h"
 
+#include "FakeAddress.h"
+
 #include "Net/SocketState.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -26,7 +28,7 @@
 
 void FakeServer::listen()
 {
-    const Asio::ip::tcp::endpoint local(Asio::ip::address_v4::loopback(), m_port);
+    const Asio::ip::tcp::endpoint local(Asio::ip::make_address(FakeAddress::text()), m_port);
     m_acceptor.open(local.protocol());
     m_acceptor.set_option(Asio::socket_base::reuse_address(true));
     m_acceptor.bind(local);
--- a/Tests/Site/SiteFleet.cpp
+++ b/Tests/Site/SiteFleet.cpp
@@ -1,5 +1,7 @@
 #include "SiteFleet.h"
 
+#include "FakeAddress.h"
+
 #include "Kernel/Registry.h"
 
 #include <boost/asio/io_context.hpp>
@@ -68,12 +70,12 @@
     SiteSettings settings;
     settings.self.vm = "vm-" + std::to_string(index);
     settings.self.dataCentre = index % 2 == 0 ? "north" : "south";
-    settings.self.peerAddress = {"127.0.0.1", static_cast<std::uint16_t>(port + 2)};
+    settings.self.peerAddress = {FakeAddress::text(), static_cast<std::uint16_t>(port + 2)};
     settings.self.processorShare = 0.25;
-    settings.callers = {"127.0.0.1", port};
-    settings.readiness = {"127.0.0.1", static_cast<std::uint16_t>(port + 1)};
-    settings.store = {"127.0.0.1", storePort};
-    settings.seeds = {{"127.0.0.1", static_cast<std::uint16_t>(callerPort(0) + 2)}};
+    settings.callers = {FakeAddress::text(), port};
+    settings.readiness = {FakeAddress::text(), static_cast<std::uint16_t>(port + 1)};
+    settings.store = {FakeAddress::text(), storePort};
+    settings.seeds = {{FakeAddress::text(), static_cast<std::uint16_t>(callerPort(0) + 2)}};
     settings.gracePeriod = std::chrono::seconds(4);
     settings.retryLimits = {0.2, 52, std::chrono::seconds(10)};
     return settings;
@@ -96,7 +98,7 @@
 void SiteFleet::writeTarget(const std::string &name, const std::string &state)
 {
     const TargetLocation &location = m_targetLocations.at(name);
-    const boost::json::object entry{{"service", location.service}, {"address", "127.0.0.1:" + std::to_string(location.port)},
+    const boost::json::object entry{{"service", location.service}, {"address", FakeAddress::text() + ":" + std::to_string(location.port)},
                                     {"zone", location.dataCentre}, {"state", state},
                                     {"cold_remaining_ms", 0},      {"born", 1}};
     m_store->put("keyed.servers", name, boost::json::serialize(entry));
@@ -169,7 +171,7 @@
 {
     Asio::io_context context;
     Asio::ip::tcp::socket socket(context);
-    socket.connect({Asio::ip::address_v4::loopback(), callerPort(daemon)});
+    socket.connect({Asio::ip::make_address(FakeAddress::text()), callerPort(daemon)});
     Http::write(socket, makeHttpRequest(request));
     Asio::steady_timer(context, delay).wait();
 }
@@ -180,7 +182,7 @@
     Asio::io_context context;
     Asio::ip::tcp::socket socket(context);
     boost::system::error_code ec;
-    socket.connect({Asio::ip::address_v4::loopback(), port}, ec);
+    socket.connect({Asio::ip::make_address(FakeAddress::text()), port}, ec);
     if (!ec) {
         Http::write(socket, makeHttpRequest(request), ec);
     }
--- a/Tests/Whole/Deployment.cpp
+++ b/Tests/Whole/Deployment.cpp
@@ -1,5 +1,7 @@
 #include "Deployment.h"
 
+#include "FakeAddress.h"
+
 #include "Daemon/Daemon.h"
 #include "FakePlatform.h"
 #include "FakeTarget.h"
@@ -79,8 +81,8 @@
             settings.faults = m_options.faults;
             settings.seed = m_options.seed * 1'000 + settings.port;
             const std::string name = std::string(it.prefix) + "-" + dataCentre;
-            m_poolTargetsYaml[it.pool] += "  - { name: " + name + ", address: \"127.0.0.1:" + std::to_string(settings.port)
-                + "\", data_centre: " + dataCentre + ", slots: " + std::to_string(m_options.slots)
+            m_poolTargetsYaml[it.pool] += "  - { name: " + name + ", address: \"" + FakeAddress::text() + ":"
+                + std::to_string(settings.port) + "\", data_centre: " + dataCentre + ", slots: " + std::to_string(m_options.slots)
                 + ", cold_slots: " + std::to_string(m_options.coldLimit) + " }\n";
             m_targets[name] = std::make_unique<FakeTarget>(pool->executor(), settings);
         }
@@ -96,11 +98,11 @@
             settings.vm = "entry-" + dataCentre + "-" + std::to_string(it);
             settings.dataCentre = dataCentre;
             settings.workers = m_options.workers;
-            settings.callers = {"127.0.0.1", m_nextPort++};
-            settings.administration = {"127.0.0.1", m_nextPort++};
-            settings.peerListen = {"127.0.0.1", m_nextPort++};
+            settings.callers = {FakeAddress::text(), m_nextPort++};
+            settings.administration = {FakeAddress::text(), m_nextPort++};
+            settings.peerListen = {FakeAddress::text(), m_nextPort++};
             settings.peerKey = "a key for tests only";
-            settings.platform = {"127.0.0.1", static_cast<std::uint16_t>(m_nextPort / portsPerDeployment * portsPerDeployment)};
+            settings.platform = {FakeAddress::text(), static_cast<std::uint16_t>(m_nextPort / portsPerDeployment * portsPerDeployment)};
             peers.push_back({settings.vm, dataCentre, settings.peerListen});
             m_settings.push_back(std::move(settings));
         }
--- a/Tests/main.cpp
+++ b/Tests/main.cpp
@@ -1,3 +1,5 @@
+#include "FakeAddress.h"
+
 #include <cppunit/BriefTestProgressListener.h>
 #include <cppunit/CompilerOutputter.h>
 #include <cppunit/TestFailure.h>
@@ -13,6 +15,7 @@
 int main(int argc, char **argv)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    Guavalock::FakeAddress::chooseForProcess();
     CppUnit::TestResult controller;
     CppUnit::TestResultCollector collector;
     CppUnit::BriefTestProgressListener progress;
