List configuration documents with an unknown path as rejected

Cause: a document whose path has no known form was ignored without an entry in Configuration::rejected, so a daemon that replayed it logged nothing. Checked: unreadableDocumentsAreRejected failed before with an unknown path.

--- a/Source/Settings/Configuration.cpp
+++ b/Source/Settings/Configuration.cpp
@@ -77,8 +77,11 @@
 {
     SettingsErrors errors;
     const PathComponents components = ConfigurationDocument::components(path);
-    const std::optional<SettingsFile> file = SettingsFile::parse(text, path, errors);
-    if (file && ConfigurationDocument::isKnownPath(path)) {
+    if (!ConfigurationDocument::isKnownPath(path)) {
+        configuration.rejected[path] = "the path has none of the forms " + ConfigurationDocument::knownPaths();
+        return;
+    }
+    if (const std::optional<SettingsFile> file = SettingsFile::parse(text, path, errors)) {
         for (const DocumentReader &it : documentReaders) {
             if (it.kindComponent < components.size() && components[it.kindComponent] == it.kind) {
                 it.read(components, file->root(), configuration, errors);
--- a/Tests/Settings/SettingsTest.cpp
+++ b/Tests/Settings/SettingsTest.cpp
@@ -99,10 +99,12 @@
 
     void unreadableDocumentsAreRejected()
     {
-        const auto configuration = Configuration::build({{"organisations/mill", "weight: 3"}, {"organisations/bad", "weight: many"}}, 9);
+        const auto configuration = Configuration::build(
+            {{"organisations/mill", "weight: 3"}, {"organisations/bad", "weight: many"}, {"organisation/typo", "weight: 3"}}, 9);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), configuration->organisations.size());
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), configuration->organisations.at("mill").weight);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), configuration->rejected.count("organisations/bad"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), configuration->rejected.count("organisation/typo"));
     }
 };
 
