Cancel pieces where they are batched

Cause: pieces whose owner could not be reached are batched by the daemon that holds the request, while their submissions went on naming the owner; a cancel then went to the owner, and the pieces were processed in vain. Change: the submission names the daemon that batches the piece. Checked: piecesOfAnUnreachableOwnerAreCancelledLocally; before, a cancel was sent to "owner".

--- a/Source/Batching/PendingPieces.h
+++ b/Source/Batching/PendingPieces.h
@@ -22,8 +22,7 @@
 public:
     struct Submission {
         Piece piece;
-        /// Vm name of the daemon to which the piece was submitted. If it could not be reached, this daemon batches the piece.
-        std::string owner;
+        std::string owner; ///< Vm name of the daemon that batches the piece.
         Clock::TimePoint lastSent;
     };
 
--- a/Source/Batching/PieceRouter.cpp
+++ b/Source/Batching/PieceRouter.cpp
@@ -27,13 +27,16 @@
 {
 }
 
-void PieceRouter::send(const std::string &owner, const std::vector<Piece> &pieces)
+void PieceRouter::send(const std::shared_ptr<PendingPieces> &pending, const std::string &owner, const std::vector<Piece> &pieces)
 {
     const std::string &self = m_membership.self().vm;
-    // Pieces that cannot be sent are batched locally, while their submissions still name the unreachable owner.
-    if (owner == self || !m_transport.sendPieces(owner, pieces)) {
-        m_local.submit(self, pieces);
+    if (owner != self && m_transport.sendPieces(owner, pieces)) {
+        return;
     }
+    for (const Piece &it : pieces) {
+        pending->submissions()[it.number].owner = self;
+    }
+    m_local.submit(self, pieces);
 }
 
 void PieceRouter::submit(const std::shared_ptr<PendingPieces> &pending, std::vector<Piece> pieces)
@@ -53,7 +56,7 @@
         byOwner[owner].push_back(std::move(it));
     }
     for (const auto &[owner, list] : byOwner) {
-        send(owner, list);
+        send(pending, owner, list);
     }
 }
 
@@ -70,7 +73,7 @@
         byOwner[submission.owner].push_back(submission.piece);
     }
     for (const auto &[owner, list] : byOwner) {
-        send(owner, list);
+        send(pending, owner, list);
     }
 }
 
--- a/Source/Batching/PieceRouter.h
+++ b/Source/Batching/PieceRouter.h
@@ -45,7 +45,8 @@
     void freeAt(const std::string &owner, std::vector<std::string> handles);
 
 private:
-    void send(const std::string &owner, const std::vector<Piece> &pieces);
+    /// Sends submitted pieces to their owner, or batches them locally, and names this daemon as their owner, if it cannot be reached.
+    void send(const std::shared_ptr<PendingPieces> &pending, const std::string &owner, const std::vector<Piece> &pieces);
 
     const Clock &m_clock;
     FleetMembership &m_membership;
--- a/Tests/Batching/StageRunTest.cpp
+++ b/Tests/Batching/StageRunTest.cpp
@@ -4,12 +4,12 @@
 #include "Batching/PieceTransport.h"
 #include "Batching/StageTimes.h"
 #include "Fleet/CatalogueTable.h"
+#include "Mesh/FleetMembership.h"
 #include "Fleet/FleetRetryBudget.h"
 #include "Fleet/FleetTable.h"
 #include "Kernel/Metrics.h"
 #include "Kernel/Registry.h"
 #include "Kernel/SystemClock.h"
-#include "Mesh/FleetMembership.h"
 #include "Site/Site.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(resultsBesideALatePieceAreFreed);
     CPPUNIT_TEST(resultsOfACancelledRequestAreFreed);
     CPPUNIT_TEST(resultsAfterTheEndGoBackToTheirOwner);
+    CPPUNIT_TEST(piecesOfAnUnreachableOwnerAreCancelledLocally);
     CPPUNIT_TEST_SUITE_END();
 
     /// Records the messages that are sent to the owner.
@@ -41,6 +42,9 @@
     public:
         bool sendPieces(const std::string &, const std::vector<Piece> &list) override
         {
+            if (!connected) {
+                return false;
+            }
             pieces.insert(pieces.end(), list.begin(), list.end());
             return true;
         }
@@ -50,8 +54,9 @@
             return true;
         }
 
-        void sendCancel(const std::string &, const std::string &) override
+        void sendCancel(const std::string &vm, const std::string &) override
         {
+            cancelled.push_back(vm);
         }
 
         void sendFree(const std::string &vm, const std::vector<std::string> &handles) override
@@ -61,7 +66,9 @@
             }
         }
 
+        bool connected = true;
         std::vector<Piece> pieces;
+        std::vector<std::string> cancelled; ///< The daemons that requests to cancel were sent to.
         std::map<std::string, std::string> released; ///< The daemon that each release was sent to, by handle.
     };
 
@@ -76,7 +83,7 @@
 
     /// A request with one stage of two pieces that are submitted to the daemon "owner".
     struct Setting {
-        explicit Setting(bool refusable = true)
+        explicit Setting(bool refusable = true, bool connected = true)
             : membership(member("self", 0.1))
             , site(Registry<Site>::instance().create("platform"))
             , fleet("self")
@@ -86,6 +93,7 @@
             , router(clock, membership, transport, local)
             , cancellation(Asio::make_strand(context))
         {
+            transport.connected = connected;
             membership.updateMember(member("owner", 1.0));
             membership.setLinked("owner", true);
             membership.recordHeartbeat("owner", false, clock.now());
@@ -179,6 +187,18 @@
         it.router.deliver("former-owner", {{late.number, PieceResult::Outcome::Completed, "h2", "north"}});
         CPPUNIT_ASSERT_EQUAL(std::string("former-owner"), it.transport.released["h2"]);
     }
+
+    void piecesOfAnUnreachableOwnerAreCancelledLocally()
+    {
+        for (const bool connected : {false, true}) {
+            Setting it(true, connected);
+            it.cancellation.cancel(RefusalCause::CallerClosed);
+            it.turn();
+            it.run.reset();
+            const auto expected = connected ? std::vector<std::string>{"owner"} : std::vector<std::string>();
+            CPPUNIT_ASSERT(it.transport.cancelled == expected);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StageRunTest);
