Link large fleets through hubs instead of all to all

Cause: every daemon connected to every other, both ways, with heartbeats each 500 ms on all links: 588 connections and 1,180 frames a second for each of 295 daemons. owner() built a copy of all live records for each piece, and each choice hashed all members for each cold target. Ruled out: heartbeats over datagrams (lost when links are full, and the cost grows all the same); liveness from the store's records (a call each second for each daemon). Change: in fleets of more than 24 daemons each links to the three largest of its data centre, its hubs, and hubs to each other; hubs report who is live (rosters, sent when they change). Only what a hub hears itself is passed on, so hubs cannot keep a dead daemon alive by repeating each other. Links work in both directions, and those to batch owners and readers are opened as needed. Owners are computed when the view changes; cold quotas when the members change. In fleets of more than 100, records pass through one daemon of each data centre. FleetMembership moves beside the fleet's state.

--- a/Source/Batching/PieceRouter.cpp
+++ b/Source/Batching/PieceRouter.cpp
@@ -3,7 +3,7 @@
 #include "Batching/BatchDispatcher.h"
 #include "Batching/PieceTransport.h"
 #include "Decisions/Hash.h"
-#include "Mesh/FleetMembership.h"
+#include "Fleet/FleetMembership.h"
 
 #include <set>
 
--- a/Source/Fleet/Catalogue.cpp
+++ b/Source/Fleet/Catalogue.cpp
@@ -55,6 +55,9 @@
     }
     for (const ServiceRecord &it : m_content.services) {
         m_servicesByName.emplace(it.name, &it);
+        if (it.batch) {
+            m_stageServices.push_back(it.name);
+        }
     }
     for (const OrganisationRecord &it : m_content.organisations) {
         for (const std::string &key : it.keys) {
@@ -89,6 +92,11 @@
     return it == m_servicesByName.end() ? nullptr : it->second;
 }
 
+const std::vector<std::string> &Catalogue::stageServices() const
+{
+    return m_stageServices;
+}
+
 const OrganisationRecord *Catalogue::organisation(const std::string &key) const
 {
     const auto it = m_organisationsByKey.find(key);
--- a/Source/Fleet/Catalogue.h
+++ b/Source/Fleet/Catalogue.h
@@ -40,6 +40,9 @@
 
     const ServiceRecord *service(const std::string &name) const;
 
+    /// Returns the names of the services that process stages.
+    const std::vector<std::string> &stageServices() const;
+
     /// Returns the organisation that an API key belongs to, or null.
     const OrganisationRecord *organisation(const std::string &key) const;
 
@@ -53,6 +56,7 @@
     Content m_content;
     std::map<std::string, std::vector<const RouteRecord *>, std::less<>> m_routesByHost; ///< Sorted by descending prefix length.
     std::map<std::string, const ServiceRecord *> m_servicesByName;
+    std::vector<std::string> m_stageServices;
     std::map<std::string, const OrganisationRecord *> m_organisationsByKey;
 };
 
--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -36,7 +36,7 @@
     Milliseconds timeout;
     Milliseconds interval; ///< Minimum interval between the starts of two reads.
     Milliseconds peerInterval; ///< Interval between requests to the daemon that reads for others.
-    Milliseconds maxPeerAge; ///< If the records of that daemon are older, the store is read directly.
+    Milliseconds maxPeerAge; ///< For each daemon on the way. If the records are older, the store is read directly.
 };
 
 /// Indexed by Topic.
@@ -181,13 +181,14 @@
 
 Asio::awaitable<bool> FleetFollower::readFromPeer(Topic topic)
 {
-    const std::string reader = m_callbacks.topicReader(topic);
-    if (reader.empty() || !m_callbacks.requestFromReader(reader, topic, m_dependencies.mirror.progress(topic).next)) {
+    const RecordSource source = m_callbacks.recordSource(topic);
+    if (source.vm.empty() || !m_callbacks.requestFromReader(source.vm, topic, m_dependencies.mirror.progress(topic).next)) {
         co_return false;
     }
     Asio::steady_timer timer(m_strand, peerReplyTimeout);
     co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
-    co_return m_dependencies.mirror.progress(topic).confirmed > m_dependencies.clock.now() - readParametersOf(topic).maxPeerAge;
+    co_return m_dependencies.mirror.progress(topic).confirmed
+        > m_dependencies.clock.now() - source.hops *readParametersOf(topic).maxPeerAge;
 }
 
 void FleetFollower::apply(Topic topic, const std::vector<KeyedRecord> &records)
--- a/Source/Fleet/FleetFollower.h
+++ b/Source/Fleet/FleetFollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Decisions/RandomEngine.h"
+#include "Fleet/RecordSource.h"
 #include "Fleet/RecordUpdate.h"
 #include "Kernel/Clock.h"
 
@@ -45,8 +46,8 @@
     struct Callbacks {
         /// Requests records from arbitrary peers because the store is unavailable.
         std::function<void(Topic, std::uint64_t from)> requestFromPeers;
-        /// Returns the daemon that reads a topic on behalf of this one, or an empty string if this daemon reads the store itself.
-        std::function<std::string(Topic)> topicReader;
+        /// Returns where this daemon obtains the records of a topic.
+        std::function<RecordSource(Topic)> recordSource;
         /// Requests records from that daemon. Returns false if there is no connection to it.
         std::function<bool(const std::string &vm, Topic, std::uint64_t from)> requestFromReader;
         std::function<void(const MemberRecord &)> memberUpdated;
--- a/Source/Fleet/FleetTable.cpp
+++ b/Source/Fleet/FleetTable.cpp
@@ -52,6 +52,7 @@
         return false;
     }
     m_targets.erase(it);
+    m_coldQuotas.erase(id);
     return true;
 }
 
@@ -83,7 +84,10 @@
 void FleetTable::setColdMembers(std::vector<std::string> members)
 {
     const std::scoped_lock lock(m_mutex);
-    m_coldMembers = std::move(members);
+    if (members != m_coldMembers) {
+        m_coldMembers = std::move(members);
+        m_coldQuotas.clear();
+    }
 }
 
 void FleetTable::markAllCold(Clock::TimePoint now)
@@ -104,8 +108,12 @@
     if (service.coldRequestRate <= 0 || !target.isCold(now)) {
         return true;
     }
-    return target.recentRequests(now)
-        < ColdTargetQuota::requestsPerSecond(target.record().id, service.coldRequestRate, m_vm, m_coldMembers);
+    const std::string &id = target.record().id;
+    ColdQuota &quota = m_coldQuotas[id];
+    if (quota.rate != service.coldRequestRate) {
+        quota = {service.coldRequestRate, ColdTargetQuota::requestsPerSecond(id, service.coldRequestRate, m_vm, m_coldMembers)};
+    }
+    return target.recentRequests(now) < quota.requests;
 }
 
 FleetTarget *FleetTable::selectTarget(const TargetRequirements &requirements, const ServiceRecord &service, Clock::TimePoint now,
--- a/Source/Fleet/FleetTable.h
+++ b/Source/Fleet/FleetTable.h
@@ -80,11 +80,18 @@
     /// targets.
     bool withinColdRate(FleetTarget &target, const ServiceRecord &service, Clock::TimePoint now) const;
 
+    /// The requests per second that this daemon may send to a cold target.
+    struct ColdQuota {
+        double rate = 0; ///< Of all daemons together, from which the quota was calculated.
+        std::size_t requests = 0;
+    };
+
     std::string m_vm;
     mutable RankedMutex m_mutex{LockRank::Targets};
     std::map<std::string, FleetTarget> m_targets;
     std::set<std::string> m_evacuated;
     std::vector<std::string> m_coldMembers;
+    mutable std::map<std::string, ColdQuota> m_coldQuotas; ///< By target, for the current members.
     std::map<std::string, std::unique_ptr<TargetChooser>> m_choosers;
     RandomEngine m_random;
 };
--- a/Source/Mesh/Generated/Mesh_generated.h
+++ b/Source/Mesh/Generated/Mesh_generated.h
@@ -49,6 +49,9 @@
 struct Records;
 struct RecordsBuilder;
 
+struct Roster;
+struct RosterBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
@@ -62,11 +65,12 @@
   Release = 6,
   RecordsRequest = 7,
   Records = 8,
+  Roster = 9,
   MIN = NONE,
-  MAX = Records
+  MAX = Roster
 };
 
-inline const Body (&EnumValuesBody())[9] {
+inline const Body (&EnumValuesBody())[10] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -76,13 +80,14 @@
     Body::Cancel,
     Body::Release,
     Body::RecordsRequest,
-    Body::Records
+    Body::Records,
+    Body::Roster
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[10] = {
+  static const char * const names[11] = {
     "NONE",
     "Hello",
     "Beat",
@@ -92,13 +97,14 @@
     "Release",
     "RecordsRequest",
     "Records",
+    "Roster",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::Records)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::Roster)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -139,6 +145,10 @@
   static const Body enum_value = Body::Records;
 };
 
+template<> struct BodyTraits<Guavalock::MeshWire::Roster> {
+  static const Body enum_value = Body::Roster;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -1094,6 +1104,77 @@
       complete);
 }
 
+struct Roster FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RosterBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_DIRECT = 4,
+    VT_RELAYED = 6
+  };
+  const flatbuffers::Vector<uint64_t> *direct() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_DIRECT);
+  }
+  const flatbuffers::Vector<uint64_t> *relayed() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_RELAYED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_DIRECT) &&
+           verifier.VerifyVector(direct()) &&
+           VerifyOffset(verifier, VT_RELAYED) &&
+           verifier.VerifyVector(relayed()) &&
+           verifier.EndTable();
+  }
+};
+
+struct RosterBuilder {
+  typedef Roster Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_direct(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> direct) {
+    fbb_.AddOffset(Roster::VT_DIRECT, direct);
+  }
+  void add_relayed(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> relayed) {
+    fbb_.AddOffset(Roster::VT_RELAYED, relayed);
+  }
+  explicit RosterBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Roster> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Roster>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Roster> CreateRoster(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> direct = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> relayed = 0) {
+  RosterBuilder builder_(_fbb);
+  builder_.add_relayed(relayed);
+  builder_.add_direct(direct);
+  return builder_.Finish();
+}
+
+struct Roster::Traits {
+  using type = Roster;
+  static auto constexpr Create = CreateRoster;
+};
+
+inline flatbuffers::Offset<Roster> CreateRosterDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<uint64_t> *direct = nullptr,
+    const std::vector<uint64_t> *relayed = nullptr) {
+  auto direct__ = direct ? _fbb.CreateVector<uint64_t>(*direct) : 0;
+  auto relayed__ = relayed ? _fbb.CreateVector<uint64_t>(*relayed) : 0;
+  return Guavalock::MeshWire::CreateRoster(
+      _fbb,
+      direct__,
+      relayed__);
+}
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   struct Traits;
@@ -1132,6 +1213,9 @@
   const Guavalock::MeshWire::Records *body_as_Records() const {
     return body_type() == Guavalock::MeshWire::Body::Records ? static_cast<const Guavalock::MeshWire::Records *>(body()) : nullptr;
   }
+  const Guavalock::MeshWire::Roster *body_as_Roster() const {
+    return body_type() == Guavalock::MeshWire::Body::Roster ? static_cast<const Guavalock::MeshWire::Roster *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -1173,6 +1257,10 @@
   return body_as_Records();
 }
 
+template<> inline const Guavalock::MeshWire::Roster *Frame::body_as<Guavalock::MeshWire::Roster>() const {
+  return body_as_Roster();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1246,6 +1334,10 @@
       auto ptr = reinterpret_cast<const Guavalock::MeshWire::Records *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::Roster: {
+      auto ptr = reinterpret_cast<const Guavalock::MeshWire::Roster *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/Source/Mesh/MeshCodec.cpp
+++ b/Source/Mesh/MeshCodec.cpp
@@ -197,9 +197,25 @@
     return true;
 }
 
+bool decodeRoster(const MeshWire::Frame &frame, Clock::TimePoint, const MeshHandlers &handlers)
+{
+    const MeshWire::Roster &wire = *frame.body_as_Roster();
+    Roster roster;
+    if (wire.direct() != nullptr) {
+        roster.direct.assign(wire.direct()->begin(), wire.direct()->end());
+    }
+    if (wire.relayed() != nullptr) {
+        roster.relayed.assign(wire.relayed()->begin(), wire.relayed()->end());
+    }
+    if (handlers.roster) {
+        handlers.roster(std::move(roster));
+    }
+    return true;
+}
+
 /// Indexed by the body type of the schema. Its first value denotes a frame without a body.
-constexpr std::array<Decoder, 9> decoders{nullptr,      decodeHello,   decodeHeartbeat,      decodePieces, decodeResults,
-                                          decodeCancel, decodeRelease, decodeRecordsRequest, decodeRecords};
+constexpr std::array<Decoder, 10> decoders{nullptr,      decodeHello,   decodeHeartbeat,      decodePieces,  decodeResults,
+                                           decodeCancel, decodeRelease, decodeRecordsRequest, decodeRecords, decodeRoster};
 
 } // namespace
 
@@ -278,6 +294,13 @@
     return finish(builder, MeshWire::Body::Records, body.Union());
 }
 
+MeshCodec::Bytes MeshCodec::roster(const Roster &roster)
+{
+    Builder builder(firstBufferBytes);
+    const auto body = MeshWire::CreateRosterDirect(builder, &roster.direct, &roster.relayed);
+    return finish(builder, MeshWire::Body::Roster, body.Union());
+}
+
 bool MeshCodec::decode(const Bytes &frame, Clock::TimePoint now, const MeshHandlers &handlers)
 {
     flatbuffers::Verifier verifier(frame.data(), frame.size());
--- a/Source/Mesh/MeshCodec.h
+++ b/Source/Mesh/MeshCodec.h
@@ -23,6 +23,7 @@
     static Bytes release(const std::vector<std::string> &handles);
     static Bytes recordsRequest(Topic topic, std::uint64_t from);
     static Bytes records(const RecordUpdate &update, Clock::TimePoint now);
+    static Bytes roster(const Roster &roster);
 
     /// Decodes a frame and calls its handler. Returns false if the bytes are not a valid frame.
     static bool decode(const Bytes &frame, Clock::TimePoint now, const MeshHandlers &handlers);
--- a/Source/Mesh/MeshHandlers.h
+++ b/Source/Mesh/MeshHandlers.h
@@ -4,6 +4,7 @@
 #include "Batching/PieceResult.h"
 #include "Fleet/MemberRecord.h"
 #include "Fleet/RecordUpdate.h"
+#include "Fleet/Roster.h"
 #include "Fleet/Topic.h"
 
 #include <functional>
@@ -23,6 +24,7 @@
     std::function<void(std::vector<std::string> handles)> release;
     std::function<void(Topic, std::uint64_t from)> recordsRequest;
     std::function<void(RecordUpdate)> records;
+    std::function<void(Roster)> roster;
 };
 
 } // namespace Guavalock
--- a/Source/Mesh/MeshNetwork.cpp
+++ b/Source/Mesh/MeshNetwork.cpp
@@ -2,9 +2,9 @@
 
 #include "Decisions/Backoff.h"
 #include "Decisions/Hash.h"
+#include "Fleet/FleetMembership.h"
 #include "Flow/DeadlineTimer.h"
 #include "Kernel/Log.h"
-#include "Mesh/FleetMembership.h"
 #include "Net/Connection.h"
 #include "Peer/FrameChannel.h"
 
@@ -26,7 +26,9 @@
 
 /// Less than a third of the timeout after which a silent daemon receives no new work.
 constexpr std::chrono::milliseconds heartbeatInterval{500};
-constexpr std::chrono::milliseconds inboundTimeout{5'000}; ///< An inbound link without a frame for this long is closed.
+constexpr std::chrono::milliseconds silenceTimeout{5'000}; ///< A link without a frame for this long is closed.
+/// A link that is no longer planned is kept for this long, because plans change back when a hub or an owner returns.
+constexpr std::chrono::seconds unplannedLinkTime{5};
 /// Well above a round trip, but below the second after which a lost SYN packet is retransmitted.
 constexpr std::chrono::milliseconds connectTimeout{800};
 constexpr std::chrono::milliseconds initialReconnectDelay{200};
@@ -44,7 +46,7 @@
     , m_acceptor(m_executor, membership.self().peerAddress,
                  [this](Acceptor::Socket socket) {
                      auto channel = std::make_shared<FrameChannel>(std::move(socket));
-                     Asio::co_spawn(channel->strand(), serve(channel), Asio::detached);
+                     Asio::co_spawn(channel->strand(), serve(channel, false), Asio::detached);
                  })
     , m_random(Hash::of(membership.self().incarnation))
 {
@@ -69,21 +71,32 @@
 {
     m_draining = true;
     const std::scoped_lock lock(m_mutex);
-    for (const auto &[vm, link] : m_links) {
-        link.channel->send(MeshCodec::heartbeat(true));
+    for (auto &[vm, links] : m_links) {
+        sendHeartbeat(selectLink(vm, links), nullptr);
     }
 }
 
-void MeshNetwork::dial(const Endpoint &endpoint)
+void MeshNetwork::setPeers(std::map<Endpoint, std::string> peers)
 {
-    if (endpoint == m_membership.self().peerAddress) {
-        return;
-    }
-    Asio::post(m_strand, [this, endpoint] {
-        if (m_dialled.emplace(endpoint.text(), true).second) {
+    Asio::post(m_strand, [this, peers = std::move(peers)] { updatePeers(peers); });
+}
+
+void MeshNetwork::updatePeers(const std::map<Endpoint, std::string> &peers)
+{
+    const Clock::TimePoint now = m_clock.now();
+    for (const auto &[endpoint, vm] : peers) {
+        const auto [it, isNew] = m_peers.try_emplace(endpoint);
+        it->second.vm = vm;
+        it->second.lastPlanned = now;
+        if (isNew) {
             Asio::co_spawn(m_strand, maintainLink(endpoint), Asio::detached);
         }
-    });
+    }
+    for (const auto &[endpoint, peer] : m_peers) {
+        if (peer.channel && now - peer.lastPlanned > unplannedLinkTime) {
+            peer.channel->close();
+        }
+    }
 }
 
 Asio::awaitable<std::shared_ptr<FrameChannel>> MeshNetwork::connect(const Endpoint &endpoint)
@@ -101,48 +114,56 @@
 {
     Backoff backoff(initialReconnectDelay, maxReconnectDelay);
     Asio::steady_timer timer(m_strand);
-    while (!m_stopped) {
+    const auto isPlanned = [&] {
+        return !m_stopped && m_clock.now() - m_peers[endpoint].lastPlanned <= unplannedLinkTime;
+    };
+    while (isPlanned()) {
+        if (hasLink(m_peers[endpoint].vm)) {
+            timer.expires_after(maxReconnectDelay);
+            co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
+            continue;
+        }
         const std::shared_ptr<FrameChannel> channel = co_await connect(endpoint);
         if (channel) {
             backoff.reset();
-            co_await Asio::co_spawn(channel->strand(), runLink(channel, endpoint), Asio::use_awaitable);
+            m_peers[endpoint].channel = channel;
+            co_await Asio::co_spawn(channel->strand(), serve(channel, true), Asio::use_awaitable);
+            m_peers[endpoint].channel = nullptr;
+        } else {
+            m_membership.recordUnreachable(m_peers[endpoint].vm, m_clock.now());
         }
         timer.expires_after(backoff.next(m_random));
         co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
     }
+    m_peers.erase(endpoint);
 }
 
-Asio::awaitable<void> MeshNetwork::runLink(std::shared_ptr<FrameChannel> channel, Endpoint endpoint)
+MeshNetwork::Link &MeshNetwork::selectLink(const std::string &vm, std::vector<Link> &links) const
 {
-    channel->send(MeshCodec::hello(m_membership.self()));
-    channel->send(MeshCodec::heartbeat(m_draining));
-    std::string vm;
-    MeshHandlers handlers;
-    handlers.hello = [&](const MemberRecord &member) {
-        vm = member.vm;
-        m_membership.updateMember(member);
-        addLink(vm, {channel, endpoint});
-    };
-    while (true) {
-        const auto frame = co_await channel->read();
-        if (!frame || !MeshCodec::decode(*frame, m_clock.now(), handlers)) {
-            break;
-        }
-    }
-    channel->close();
-    if (!vm.empty()) {
-        removeLink(vm, channel);
-    }
+    const bool openedHere = m_membership.self().vm < vm;
+    const auto it = std::ranges::find(links, openedHere, &Link::outbound);
+    return it == links.end() ? links.back() : *it;
+}
+
+bool MeshNetwork::hasLink(const std::string &vm)
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_links.contains(vm);
 }
 
-void MeshNetwork::addLink(const std::string &vm, Link link)
+void MeshNetwork::addLink(const std::string &vm, const Link &link)
 {
+    bool first = false;
     {
         const std::scoped_lock lock(m_mutex);
-        m_links[vm] = std::move(link);
+        std::vector<Link> &links = m_links[vm];
+        first = links.empty();
+        links.push_back(link);
+    }
+    if (first) {
+        m_membership.setLinked(vm, true);
+        Log::info("mesh", "link-up", {{"peer", vm}});
     }
-    m_membership.setLinked(vm, true);
-    Log::info("mesh", "link-up", {{"peer", vm}});
 }
 
 void MeshNetwork::removeLink(const std::string &vm, const std::shared_ptr<FrameChannel> &channel)
@@ -150,7 +171,11 @@
     {
         const std::scoped_lock lock(m_mutex);
         const auto it = m_links.find(vm);
-        if (it == m_links.end() || it->second.channel != channel) {
+        if (it == m_links.end()) {
+            return;
+        }
+        std::erase_if(it->second, [&](const Link &link) { return link.channel == channel; });
+        if (!it->second.empty()) {
             return;
         }
         m_links.erase(it);
@@ -159,19 +184,25 @@
     Log::warning("mesh", "link-down", {{"peer", vm}});
 }
 
-MeshHandlers MeshNetwork::handlersFor(const std::shared_ptr<std::string> &vm)
+MeshHandlers MeshNetwork::handlersFor(const std::shared_ptr<std::string> &vm, const Link &link)
 {
     MeshHandlers handlers;
-    handlers.hello = [this, vm](const MemberRecord &member) {
+    handlers.hello = [this, vm, link](const MemberRecord &member) {
+        if (!vm->empty() || member.vm == m_membership.self().vm) {
+            return;
+        }
         *vm = member.vm;
         if (m_membership.updateMember(member)) {
             Log::info("mesh", "member", {{"vm", member.vm}, {"incarnation", member.incarnation}, {"source", "peer"}});
         }
-        dial(member.peerAddress);
+        addLink(member.vm, link);
     };
     handlers.heartbeat = [this, vm](bool draining) {
         m_membership.recordHeartbeat(*vm, draining, m_clock.now());
     };
+    handlers.roster = [this, vm](Roster roster) {
+        m_membership.recordRoster(*vm, std::move(roster));
+    };
     handlers.pieces = [this, vm](std::vector<Piece> pieces) {
         m_callbacks.pieces(*vm, std::move(pieces));
     };
@@ -189,29 +220,43 @@
     return handlers;
 }
 
-Asio::awaitable<void> MeshNetwork::serve(std::shared_ptr<FrameChannel> channel)
+Asio::awaitable<void> MeshNetwork::serve(std::shared_ptr<FrameChannel> channel, bool outbound)
 {
     channel->send(MeshCodec::hello(m_membership.self()));
+    channel->send(MeshCodec::heartbeat(m_draining));
     const auto vm = std::make_shared<std::string>();
-    const MeshHandlers handlers = handlersFor(vm);
+    const MeshHandlers handlers = handlersFor(vm, {channel, outbound, nullptr});
     while (true) {
-        const DeadlineTimer silence(channel->strand(), m_clock.now() + inboundTimeout, [channel] { channel->close(); });
+        const DeadlineTimer silence(channel->strand(), m_clock.now() + silenceTimeout, [channel] { channel->close(); });
         const auto frame = co_await channel->read();
         if (!frame || !MeshCodec::decode(*frame, m_clock.now(), handlers)) {
             break;
         }
     }
     channel->close();
+    if (!vm->empty()) {
+        removeLink(*vm, channel);
+    }
+}
+
+void MeshNetwork::sendHeartbeat(Link &link, const std::shared_ptr<const Roster> &roster) const
+{
+    if (roster && roster != link.roster) {
+        link.channel->send(MeshCodec::roster(*roster));
+        link.roster = roster;
+    }
+    link.channel->send(MeshCodec::heartbeat(m_draining));
 }
 
 Asio::awaitable<void> MeshNetwork::sendHeartbeats()
 {
     Asio::steady_timer timer(m_strand);
     while (!m_stopped) {
+        const std::shared_ptr<const Roster> roster = m_membership.roster(m_clock.now());
         {
             const std::scoped_lock lock(m_mutex);
-            for (const auto &[vm, link] : m_links) {
-                link.channel->send(MeshCodec::heartbeat(m_draining));
+            for (auto &[vm, links] : m_links) {
+                sendHeartbeat(selectLink(vm, links), roster);
             }
         }
         timer.expires_after(heartbeatInterval);
@@ -226,7 +271,7 @@
     if (it == m_links.end()) {
         return false;
     }
-    it->second.channel->send(std::move(frame));
+    selectLink(vm, it->second).channel->send(std::move(frame));
     return true;
 }
 
@@ -254,8 +299,8 @@
 {
     const std::scoped_lock lock(m_mutex);
     std::vector<const Link *> links;
-    for (const auto &[vm, link] : m_links) {
-        links.push_back(&link);
+    for (auto &[vm, list] : m_links) {
+        links.push_back(&selectLink(vm, list));
     }
     for (std::size_t it = 0; it < recordRequestFanOut && !links.empty(); ++it) {
         const auto chosen = links.begin() + static_cast<std::ptrdiff_t>(m_random() % links.size());
--- a/Source/Mesh/MeshNetwork.h
+++ b/Source/Mesh/MeshNetwork.h
@@ -22,7 +22,8 @@
 class FrameChannel;
 class FleetMembership;
 
-/// The connections between daemons. Each daemon connects to every other daemon it knows, and sends on the connections it opened.
+/// The connections between daemons. Each daemon keeps connections to a few others (see LinkPlan), and sends to all that are connected to
+/// it, whichever side has opened the connection.
 class MeshNetwork : public PieceTransport
 {
 public:
@@ -42,8 +43,9 @@
     /// Starts to listen. Throws boost::system::system_error if the address cannot be bound.
     void start(Callbacks callbacks);
 
-    /// Connects to an address and maintains a link to the daemon that answers there. Thread-safe.
-    void dial(const Endpoint &endpoint);
+    /// Sets the addresses to which links are maintained, by the Vm name of the daemon that is expected there; seeds have none. Other links
+    /// that this daemon has opened are closed after a while. Thread-safe.
+    void setPeers(std::map<Endpoint, std::string> peers);
 
     /// Tells the other daemons to send no new work to this one.
     void startDraining();
@@ -64,19 +66,34 @@
     void sendRecords(const std::string &vm, const RecordUpdate &update);
 
 private:
+    /// A connection to another daemon.
     struct Link {
         std::shared_ptr<FrameChannel> channel;
-        Endpoint endpoint;
+        bool outbound = false; ///< Whether this daemon has opened it.
+        std::shared_ptr<const Roster> roster; ///< As last sent.
     };
 
+    /// An address to which a link is maintained.
+    struct Peer {
+        std::string vm; ///< Empty if not known.
+        Clock::TimePoint lastPlanned;
+        std::shared_ptr<FrameChannel> channel; ///< Null while not connected.
+    };
+
+    void updatePeers(const std::map<Endpoint, std::string> &peers);
     boost::asio::awaitable<void> maintainLink(Endpoint endpoint);
     boost::asio::awaitable<std::shared_ptr<FrameChannel>> connect(const Endpoint &endpoint);
-    boost::asio::awaitable<void> runLink(std::shared_ptr<FrameChannel> channel, Endpoint endpoint);
-    boost::asio::awaitable<void> serve(std::shared_ptr<FrameChannel> channel);
+    /// Exchanges frames until the connection is closed or silent.
+    boost::asio::awaitable<void> serve(std::shared_ptr<FrameChannel> channel, bool outbound);
     boost::asio::awaitable<void> sendHeartbeats();
-    MeshHandlers handlersFor(const std::shared_ptr<std::string> &vm);
+    void sendHeartbeat(Link &link, const std::shared_ptr<const Roster> &roster) const;
+    MeshHandlers handlersFor(const std::shared_ptr<std::string> &vm, const Link &link);
+    /// Returns the connection on which to send. Of two, both sides select the one that the daemon with the smaller name has opened; the
+    /// other falls silent and is closed.
+    Link &selectLink(const std::string &vm, std::vector<Link> &links) const;
+    bool hasLink(const std::string &vm);
     bool send(const std::string &vm, MeshCodec::Bytes frame);
-    void addLink(const std::string &vm, Link link);
+    void addLink(const std::string &vm, const Link &link);
     void removeLink(const std::string &vm, const std::shared_ptr<FrameChannel> &channel);
 
     boost::asio::any_io_executor m_executor;
@@ -86,8 +103,8 @@
     Callbacks m_callbacks;
     Acceptor m_acceptor;
     RankedMutex m_mutex{LockRank::Connections};
-    std::map<std::string, Link> m_links; ///< By daemon.
-    std::map<std::string, bool> m_dialled; ///< Addresses to which a link is maintained. Accessed only on the strand.
+    std::map<std::string, std::vector<Link>> m_links; ///< By daemon. There are two while both sides have opened one.
+    std::map<Endpoint, Peer> m_peers; ///< Accessed only on the strand.
     RandomEngine m_random;
     std::atomic<bool> m_draining{false};
     std::atomic<bool> m_stopped{false};
--- a/Source/Settings/Endpoint.h
+++ b/Source/Settings/Endpoint.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -12,7 +13,7 @@
     std::string address;
     std::uint16_t port = 0;
 
-    bool operator==(const Endpoint &) const = default;
+    auto operator<=>(const Endpoint &) const = default;
 
     /// Parses `ADDRESS:PORT`, where ADDRESS is an IPv4 address or an IPv6 address in brackets. Returns nothing if malformed.
     static std::optional<Endpoint> parse(const std::string &text);
--- a/Source/Site/SiteDaemon.cpp
+++ b/Source/Site/SiteDaemon.cpp
@@ -8,6 +8,7 @@
 #include "Fleet/Catalogue.h"
 #include "Fleet/CatalogueTable.h"
 #include "Fleet/FleetFollower.h"
+#include "Fleet/FleetMembership.h"
 #include "Fleet/FleetTable.h"
 #include "Fleet/IdleConnectionLimit.h"
 #include "Fleet/RecordCodec.h"
@@ -15,7 +16,6 @@
 #include "Kernel/Log.h"
 #include "Kernel/Metrics.h"
 #include "Kernel/WorkerPool.h"
-#include "Mesh/FleetMembership.h"
 #include "Relay/RelayCodec.h"
 #include "Relay/RelayFrontEnd.h"
 #include "Site/Site.h"
@@ -62,6 +62,7 @@
 SiteDaemon::SiteDaemon(const Site &site, SiteSettings settings)
     : m_site(site)
     , m_settings(std::move(settings))
+    , m_seeds(m_settings.seeds)
     , m_pool(std::make_unique<WorkerPool>(workers))
     , m_metrics(std::make_unique<Metrics>())
     , m_catalogue(std::make_unique<CatalogueTable>())
@@ -111,10 +112,45 @@
     return !m_draining && m_follower->ready();
 }
 
-std::string SiteDaemon::topicReader(Topic topic) const
+std::set<std::string> SiteDaemon::partners(Clock::TimePoint now) const
 {
-    const std::string reader = m_membership->owner(topicName(topic), m_clock.now());
-    return reader == m_membership->self().vm ? std::string() : reader;
+    std::set<std::string> names;
+    for (const Topic it : allTopics) {
+        names.insert(m_membership->recordSource(topicName(it), now).vm);
+    }
+    if (const std::shared_ptr<const Catalogue> catalogue = m_catalogue->current()) {
+        for (const std::string &it : catalogue->stageServices()) {
+            names.insert(m_membership->owner(it, now));
+        }
+    }
+    names.erase(std::string());
+    names.erase(m_membership->self().vm);
+    return names;
+}
+
+std::vector<Endpoint> SiteDaemon::seeds()
+{
+    const std::scoped_lock lock(m_seedsMutex);
+    return m_seeds;
+}
+
+void SiteDaemon::planLinks(Clock::TimePoint now)
+{
+    std::map<Endpoint, std::string> peers;
+    for (const MemberRecord &it : m_membership->plannedLinks(now)) {
+        peers[it.peerAddress] = it.vm;
+    }
+    for (const std::string &it : partners(now)) {
+        peers[m_membership->record(it).peerAddress] = it;
+    }
+    peers.erase(Endpoint()); // Of partners that have just left.
+    if (!m_membership->connected(now)) {
+        for (const Endpoint &it : seeds()) {
+            peers.try_emplace(it);
+        }
+    }
+    peers.erase(m_membership->self().peerAddress);
+    m_mesh->setPeers(std::move(peers));
 }
 
 MeshNetwork::Callbacks SiteDaemon::meshCallbacks()
@@ -147,14 +183,14 @@
     callbacks.requestFromPeers = [this](Topic topic, std::uint64_t from) {
         m_mesh->requestRecords(topic, from);
     };
-    callbacks.topicReader = [this](Topic topic) {
-        return topicReader(topic);
+    callbacks.recordSource = [this](Topic topic) {
+        return m_membership->recordSource(topicName(topic), m_clock.now());
     };
     callbacks.requestFromReader = [this](const std::string &vm, Topic topic, std::uint64_t from) {
         return m_mesh->requestRecordsFrom(vm, topic, from);
     };
     callbacks.memberUpdated = [this](const MemberRecord &member) {
-        m_mesh->dial(member.peerAddress);
+        m_membership->updateMember(member);
     };
     callbacks.memberRemoved = [this](const std::string &vm) {
         m_membership->remove(vm);
@@ -170,9 +206,6 @@
     Log::info("daemon", "starting", {{"incarnation", self.incarnation}, {"data_centre", self.dataCentre}});
     startFollower();
     m_mesh->start(meshCallbacks());
-    for (const Endpoint &it : m_settings.seeds) {
-        m_mesh->dial(it);
-    }
     m_follower->start(self);
     m_frontEnd->start();
     m_readiness->start();
@@ -191,6 +224,7 @@
     while (!m_draining) {
         detectSuspension();
         const Clock::TimePoint now = m_clock.now();
+        planLinks(now);
         std::vector<std::string> names;
         for (const MemberRecord &it : m_membership->live(now)) {
             names.push_back(it.vm);
@@ -216,8 +250,9 @@
 
 void SiteDaemon::reload(const SiteSettings &settings)
 {
-    for (const Endpoint &it : settings.seeds) {
-        m_mesh->dial(it);
+    {
+        const std::scoped_lock lock(m_seedsMutex);
+        m_seeds = settings.seeds;
     }
     m_retryBudget->setLimits(settings.retryLimits);
     m_settings.gracePeriod = settings.gracePeriod;
--- a/Source/Site/SiteDaemon.h
+++ b/Source/Site/SiteDaemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Kernel/RankedMutex.h"
 #include "Kernel/SystemClock.h"
 #include "Mesh/MeshNetwork.h"
 #include "Relay/RelayContext.h"
@@ -7,6 +8,9 @@
 
 #include <atomic>
 #include <memory>
+#include <set>
+#include <string>
+#include <vector>
 
 namespace Guavalock
 {
@@ -47,11 +51,17 @@
     void startFollower();
     boost::asio::awaitable<void> updateMembers();
     void detectSuspension();
-    std::string topicReader(Topic topic) const;
+    /// Plans the links to other daemons: those of LinkPlan, the partners, and the seeds while no daemon is linked.
+    void planLinks(Clock::TimePoint now);
+    std::vector<Endpoint> seeds();
+    /// Returns the daemons to which this one sends work or requests for records.
+    std::set<std::string> partners(Clock::TimePoint now) const;
     bool ready() const;
 
     const Site &m_site;
     SiteSettings m_settings;
+    RankedMutex m_seedsMutex{LockRank::Configuration};
+    std::vector<Endpoint> m_seeds; ///< Can change at run time.
     SystemClock m_clock;
     std::unique_ptr<WorkerPool> m_pool;
     std::unique_ptr<Metrics> m_metrics;
--- a/Tests/Batching/StageRunTest.cpp
+++ b/Tests/Batching/StageRunTest.cpp
@@ -4,7 +4,7 @@
 #include "Batching/PieceTransport.h"
 #include "Batching/StageTimes.h"
 #include "Fleet/CatalogueTable.h"
-#include "Mesh/FleetMembership.h"
+#include "Fleet/FleetMembership.h"
 #include "Fleet/FleetRetryBudget.h"
 #include "Fleet/FleetTable.h"
 #include "Kernel/Metrics.h"
--- a/Tests/Fleet/FollowerTest.cpp
+++ b/Tests/Fleet/FollowerTest.cpp
@@ -90,8 +90,8 @@
         };
         callbacks.memberRemoved = [](const std::string &) {
         };
-        callbacks.topicReader = [&](Topic) {
-            return peerReads ? std::string("peer") : std::string();
+        callbacks.recordSource = [&](Topic) {
+            return peerReads ? RecordSource{"peer", 1} : RecordSource();
         };
         std::unique_ptr<FleetFollower> follower;
         callbacks.requestFromReader = [&](const std::string &, Topic topic, std::uint64_t) {
--- a/Tests/Mesh/MeshTest.cpp
+++ b/Tests/Mesh/MeshTest.cpp
@@ -1,4 +1,4 @@
-#include "Mesh/FleetMembership.h"
+#include "Fleet/FleetMembership.h"
 #include "Mesh/MeshCodec.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(piecesRoundTrip);
     CPPUNIT_TEST(resultsRoundTrip);
     CPPUNIT_TEST(deletedKeysRoundTrip);
+    CPPUNIT_TEST(rostersRoundTrip);
     CPPUNIT_TEST(damagedFramesAreRejectedOrHarmless);
     CPPUNIT_TEST(allMembersSelectTheSameOwner);
     CPPUNIT_TEST(silentAndDrainingMembersAreNotOwners);
@@ -107,6 +108,18 @@
         CPPUNIT_ASSERT(received->topic == Topic::Targets && received->next == 6 && received->complete);
     }
 
+    void rostersRoundTrip()
+    {
+        Roster received;
+        MeshHandlers handlers;
+        handlers.roster = [&](Roster roster) {
+            received = std::move(roster);
+        };
+        const Roster sent{{1, 2, ~std::uint64_t{0}}, {}};
+        CPPUNIT_ASSERT(MeshCodec::decode(MeshCodec::roster(sent), m_now, handlers));
+        CPPUNIT_ASSERT(received == sent);
+    }
+
     /// Decodes frames with flipped bits and truncated frames. A decoder that trusts their lengths reads out of bounds.
     void damagedFramesAreRejectedOrHarmless()
     {
