Refuse what a stopping daemon cannot complete, and answer what waits

Cause: for 3.2 s after SIGTERM the daemon accepted every request, however long it might take, and when the grace period ended it exited without an answer to those that still waited for their stages. A request accepted in the moment in which the front end was closed could also be missed by the count of requests. Ruled out: a shorter time of acceptance (the balancer goes on sending for 2 s, and open connections longer). Change: StopAdmission accepts a request if its route's timeout, or the upper bound of its route's durations, fits into the time left; others are refused at once with a time to come back. 0.8 s before the end of the grace period the requests without any part of a response are refused (UnansweredRequests). A request is counted before the closed flag is read.

--- a/Source/Decisions/DurationEstimate.cpp
+++ b/Source/Decisions/DurationEstimate.cpp
@@ -1,6 +1,7 @@
 #include "Decisions/DurationEstimate.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Guavalock
 {
@@ -11,6 +12,9 @@
 using Seconds = std::chrono::duration<double>;
 
 constexpr double meanWeight = 0.1;
+constexpr double deviationWeight = 0.25; ///< As in RFC 6298.
+constexpr double initialDeviation = 0.5; ///< Deviation assumed after the first value, as a fraction of it. As in RFC 6298.
+constexpr int upperBoundDeviations = 4; ///< As in RFC 6298.
 constexpr double lowQuantile = 0.05;
 constexpr double lowStep = 0.05; ///< Relative step of the percentile estimate.
 
@@ -27,9 +31,11 @@
     ++m_count;
     if (m_count == 1) {
         m_mean = seconds;
+        m_deviation = initialDeviation * seconds;
         m_lowPercentile = seconds;
         return;
     }
+    m_deviation += deviationWeight * (std::abs(seconds - m_mean) - m_deviation);
     m_mean += meanWeight * (seconds - m_mean);
     // Stochastic quantile estimation: a large step down for values below the estimate and a small step up for the others converge to
     // the quantile.
@@ -52,4 +58,9 @@
     return asDuration(m_lowPercentile);
 }
 
+DurationEstimate::Duration DurationEstimate::upperBound() const
+{
+    return asDuration(m_mean + upperBoundDeviations * m_deviation);
+}
+
 } // namespace Guavalock
--- a/Source/Relay/RelayContext.h
+++ b/Source/Relay/RelayContext.h
@@ -3,6 +3,7 @@
 namespace Guavalock
 {
 
+class BufferBudget;
 class CatalogueTable;
 class Clock;
 class IdleConnectionLimit;
@@ -11,8 +12,11 @@
 class Metrics;
 class PieceRouter;
 class RelayCodec;
+class RouteDurations;
+class StopSchedule;
 class FleetRetryBudget;
 class StageTimes;
+class UnansweredRequests;
 
 /// Dependencies shared by all relayed requests. Every reference outlives the worker pool.
 struct RelayContext {
@@ -24,6 +28,10 @@
     FleetRetryBudget &retryBudget;
     PieceRouter &pieces;
     StageTimes &stageTimes;
+    RouteDurations &routeDurations;
+    UnansweredRequests &unanswered;
+    const StopSchedule &stopSchedule;
+    BufferBudget &responseMemory;
     const RelayCodec &codec;
     Metrics &metrics;
 };
--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -2,6 +2,7 @@
 
 #include "Batching/StageTimes.h"
 #include "Decisions/Hash.h"
+#include "Decisions/StopAdmission.h"
 #include "Fleet/Catalogue.h"
 #include "Fleet/CatalogueTable.h"
 #include "Fleet/FleetRetryBudget.h"
@@ -14,6 +15,9 @@
 #include "Kernel/Metrics.h"
 #include "Relay/RelayAttempt.h"
 #include "Relay/ResponseSink.h"
+#include "Relay/RouteDurations.h"
+#include "Relay/StopSchedule.h"
+#include "Relay/UnansweredRequests.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -40,6 +44,9 @@
 constexpr Milliseconds minClientIdleTimeout{2'000}; ///< Clients disconnect from an idle stream after the longest of this time,
 constexpr int clientIdleObjectives = 4; ///< this multiple of the route's latency objective,
 constexpr int clientIdleGaps = 8; ///< and this multiple of its event gap objective.
+/// Fraction of the client's patience after which a stalled stream is resumed at another target. The rest is for that target.
+constexpr double stalledFraction = 0.75;
+constexpr Milliseconds stalledMargin{500}; ///< Added to the client's patience for a stream that cannot be resumed.
 /// Bytes between data centres whose transfer costs as much as reprocessing one prompt token.
 constexpr std::uint64_t bytesPerPromptToken = 2'800;
 constexpr int firstByteLatencies = 3; ///< Multiple of the target's typical latency after which it is presumed faulty.
@@ -92,6 +99,13 @@
         return setRefusal(ResultCode::MalformedRequest, RunState::No,
                           "a stage has more than " + std::to_string(maxPiecesPerStage) + " pieces");
     }
+    const std::optional<Clock::TimePoint> stopEnd = m_context.stopSchedule.end();
+    const auto expected = m_context.routeDurations.upperBound(m_route->name);
+    if (stopEnd && !StopAdmission::accepts(m_route->timeout, expected, *stopEnd, m_request.receivedAt)) {
+        setRefusal(ResultCode::Draining, RunState::No, "the daemon is shutting down and may not complete the request in time");
+        m_refusal.retryAfter = StopSchedule::retryAfter;
+        return false;
+    }
     m_rank = m_organisation != nullptr && m_organisation->rank ? *m_organisation->rank : m_route->rank;
     const Milliseconds timeout = std::min(m_route->timeout, m_request.deadline.value_or(m_route->timeout));
     m_deadline = m_request.receivedAt + timeout;
@@ -161,6 +175,12 @@
     return std::min(m_deadline, m_request.receivedAt + clientIdleTimeout()) - responseMargin;
 }
 
+Milliseconds RelayJob::eventTimeout() const
+{
+    const Milliseconds patience = clientIdleTimeout();
+    return m_route->resumable ? std::chrono::duration_cast<Milliseconds>(patience * stalledFraction) : patience + stalledMargin;
+}
+
 Milliseconds RelayJob::clientIdleTimeout() const
 {
     return std::max({minClientIdleTimeout, clientIdleObjectives * m_route->latencyObjective, clientIdleGaps * m_route->eventGapObjective});
@@ -186,6 +206,10 @@
         logCompletion("caller-closed", 0);
         co_return false;
     }
+    if (m_cancellation.cause() == RefusalCause::StopTimeout) {
+        co_await refuseForStop();
+        co_return false;
+    }
     if (end == StageRun::Outcome::Failed) {
         m_refusal.retryAfter = shortRetryAfter;
         co_await refuse(ResultCode::StageUnavailable, "a stage failed");
@@ -283,10 +307,12 @@
     };
     const std::size_t maxIdleConnections
         = m_route->reusesConnections() ? m_context.connectionShare.perTarget(m_service->connectionLimit) : 0;
-    RelayAttempt attempt(m_context,
-                         {m_request, *m_route, *target, upstreamParameters(*target), maxIdleConnections, firstByteLimit, mayAbandon},
-                         m_progress, m_sink, m_cancellation);
+    RelayAttempt attempt(
+        m_context,
+        {m_request, *m_route, *target, upstreamParameters(*target), maxIdleConnections, firstByteLimit, eventTimeout(), mayAbandon},
+        m_progress, m_sink, m_cancellation);
     attempt.onStreamStarted([this, &target] {
+        m_context.unanswered.remove(m_cancellation);
         m_context.fleet.recordResponseStart(target->id, m_request.promptTokens);
         const Clock::TimePoint now = m_context.clock.now();
         m_timeToFirstEvent = elapsedTime();
@@ -412,11 +438,21 @@
     if (m_progress.started) {
         co_return co_await onStreamInterrupted(outcome);
     }
+    if (m_cancellation.cause() == RefusalCause::StopTimeout) {
+        co_await refuseForStop();
+        co_return NextStep::Done;
+    }
     co_await refuse(m_runState == RunState::No ? ResultCode::DeadlineUnreachable : ResultCode::DeadlineExceeded,
                     "the deadline passed before a response was available");
     co_return NextStep::Done;
 }
 
+Asio::awaitable<void> RelayJob::refuseForStop()
+{
+    m_refusal.retryAfter = StopSchedule::retryAfter;
+    co_await refuse(ResultCode::Draining, "the daemon is shutting down");
+}
+
 Asio::awaitable<void> RelayJob::refuse(ResultCode code, std::string reason)
 {
     if (m_progress.started) {
@@ -457,6 +493,9 @@
         return time ? std::to_string(time->count()) : std::string();
     };
     m_context.metrics.distribution("request_seconds").observe(elapsed);
+    if (outcome == "answered") {
+        m_context.routeDurations.observe(m_route->name, elapsed);
+    }
     Log::info("relay", "request",
               {{"id", m_request.id},
                {"outcome", std::string(outcome)},
--- a/Source/Relay/RelayJob.h
+++ b/Source/Relay/RelayJob.h
@@ -63,6 +63,8 @@
     boost::asio::awaitable<NextStep> onStreamInterrupted(AttemptOutcome &outcome);
     boost::asio::awaitable<NextStep> onCancelled(AttemptOutcome &outcome);
     boost::asio::awaitable<void> refuse(ResultCode code, std::string reason);
+    /// Refuses a request that is still without a response when the daemon ends.
+    boost::asio::awaitable<void> refuseForStop();
     boost::asio::awaitable<void> sendRefusal();
 
     /// Takes a retry from the budget for a request that may already have been executed. Returns false if a retry is not permitted.
@@ -75,6 +77,8 @@
     Clock::TimePoint firstEventDeadline() const;
     /// Returns how long clients wait for the next event of an idle stream.
     std::chrono::milliseconds clientIdleTimeout() const;
+    /// Returns the time without a complete event after which a stream counts as stalled.
+    std::chrono::milliseconds eventTimeout() const;
 
     std::chrono::milliseconds elapsedTime() const;
     std::chrono::milliseconds remainingTime() const;
--- a/Source/Relay/RelaySession.cpp
+++ b/Source/Relay/RelaySession.cpp
@@ -10,6 +10,8 @@
 #include "Net/SocketState.h"
 #include "Relay/RelayCodec.h"
 #include "Relay/RelayJob.h"
+#include "Relay/StopSchedule.h"
+#include "Relay/UnansweredRequests.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/bind_executor.hpp>
@@ -71,14 +73,16 @@
         if (!request) {
             break;
         }
-        if (m_sharedState.closed) {
+        // Counted before `closed` is read, so that a stopping daemon either refuses the request or waits for it.
+        ++m_sharedState.requests;
+        const bool closed = m_sharedState.closed;
+        if (closed) {
             co_await rejectRequest(ResultCode::Draining, "the daemon is shutting down");
-            break;
+        } else {
+            co_await serve(std::move(*request));
         }
-        ++m_sharedState.requests;
-        co_await serve(std::move(*request));
         --m_sharedState.requests;
-        if (m_sharedState.draining) {
+        if (closed || m_sharedState.draining) {
             break;
         }
     }
@@ -102,7 +106,10 @@
 Asio::awaitable<bool> RelaySession::rejectRequest(ResultCode code, std::string reason)
 {
     m_keepAlive = false;
-    const Refusal refusal = Refusal::of(code, RunState::No, std::move(reason));
+    Refusal refusal = Refusal::of(code, RunState::No, std::move(reason));
+    if (code == ResultCode::Draining) {
+        refusal.retryAfter = StopSchedule::retryAfter;
+    }
     co_return co_await sendRefusal(refusal);
 }
 
@@ -175,8 +182,10 @@
 {
     const auto cancellation = std::make_shared<Cancellation>(m_socket.get_executor());
     const std::shared_ptr<DisconnectWatch> watch = watchForDisconnect(cancellation);
+    m_context.unanswered.add(cancellation);
     RelayJob job(m_context, std::move(request), *this, *cancellation);
     co_await job.run();
+    m_context.unanswered.remove(*cancellation);
     watch->active = false;
     boost::system::error_code ignored;
     m_socket.cancel(ignored);
--- a/Source/Site/SiteDaemon.cpp
+++ b/Source/Site/SiteDaemon.cpp
@@ -16,8 +16,12 @@
 #include "Kernel/Log.h"
 #include "Kernel/Metrics.h"
 #include "Kernel/WorkerPool.h"
+#include "Relay/BufferBudget.h"
 #include "Relay/RelayCodec.h"
 #include "Relay/RelayFrontEnd.h"
+#include "Relay/RouteDurations.h"
+#include "Relay/StopSchedule.h"
+#include "Relay/UnansweredRequests.h"
 #include "Site/Site.h"
 #include "Site/StatusServer.h"
 #include "Targets/ConnectionTable.h"
@@ -45,6 +49,8 @@
 /// Time that the load balancer needs to stop sending requests after the daemon reports that it is not ready.
 constexpr std::chrono::milliseconds loadBalancerDelay{3'200};
 constexpr std::chrono::milliseconds shutdownMargin{400}; ///< Reserved at the end of the grace period for stopping the remaining components.
+/// Reserved after the requests without a response have been cancelled, for sending their refusals.
+constexpr std::chrono::milliseconds finalRefusalTime{400};
 /// Shortest suspension that may have hidden changes. Without a suspension the two clocks differ by less.
 constexpr std::chrono::milliseconds minSuspension{300};
 constexpr std::chrono::seconds discoveryTime{3}; ///< Time after the start until the other daemons are known.
@@ -85,8 +91,12 @@
           }))
     , m_pieceRouter(std::make_unique<PieceRouter>(m_clock, *m_membership, *m_mesh, *m_batchDispatcher))
     , m_stageTimes(std::make_unique<StageTimes>())
+    , m_routeDurations(std::make_unique<RouteDurations>())
+    , m_unanswered(std::make_unique<UnansweredRequests>())
+    , m_stopSchedule(std::make_unique<StopSchedule>())
+    , m_responseMemory(std::make_unique<BufferBudget>())
     , m_relayContext(new RelayContext{m_clock, *m_catalogue, *m_fleet, *m_connections, *m_connectionShare, *m_retryBudget, *m_pieceRouter,
-                                      *m_stageTimes, m_site.relayCodec(), *m_metrics})
+                                      *m_stageTimes, *m_routeDurations, *m_unanswered, *m_stopSchedule, *m_responseMemory, m_site.relayCodec(), *m_metrics})
     , m_frontEnd(std::make_unique<RelayFrontEnd>(*m_relayContext, m_pool->executor(), m_settings.callers))
     , m_readiness(std::make_unique<StatusServer>(m_pool->executor(), m_settings.readiness, [this](const std::string &path) {
         if (path != m_site.relayCodec().readinessPath()) {
@@ -262,6 +272,8 @@
 bool SiteDaemon::stop()
 {
     const Clock::TimePoint begin = m_clock.now();
+    const Clock::TimePoint end = begin + m_settings.gracePeriod - shutdownMargin;
+    m_stopSchedule->begin(end - finalRefusalTime);
     m_draining = true;
     Log::info("daemon", "stopping", {{"requests", std::to_string(m_frontEnd->requestsInProgress())}});
     m_frontEnd->startDraining();
@@ -273,11 +285,15 @@
     timer.expires_after(std::min<Clock::Duration>(loadBalancerDelay, m_settings.gracePeriod / 2));
     timer.wait();
     m_frontEnd->close();
-    const Clock::TimePoint end = begin + m_settings.gracePeriod - shutdownMargin;
-    while (m_clock.now() < end && m_frontEnd->requestsInProgress() > 0) {
-        timer.expires_after(shutdownPollInterval);
-        timer.wait();
-    }
+    const auto waitForRequests = [&](Clock::TimePoint until) {
+        while (m_clock.now() < until && m_frontEnd->requestsInProgress() > 0) {
+            timer.expires_after(shutdownPollInterval);
+            timer.wait();
+        }
+    };
+    waitForRequests(end - finalRefusalTime);
+    m_unanswered->cancelAll(RefusalCause::StopTimeout);
+    waitForRequests(end);
     const std::size_t left = m_frontEnd->requestsInProgress();
     m_follower->stop();
     m_batchDispatcher->stop();
--- a/Source/Site/SiteDaemon.h
+++ b/Source/Site/SiteDaemon.h
@@ -23,8 +23,12 @@
 class RelayFrontEnd;
 class FleetMembership;
 class Site;
+class BufferBudget;
+class RouteDurations;
 class StageTimes;
 class StatusServer;
+class StopSchedule;
+class UnansweredRequests;
 class WorkerPool;
 
 /// A daemon of a fleet that obtains its configuration, targets and peers from the record store of the deployment.
@@ -42,8 +46,9 @@
 
     /// Performs a graceful shutdown and returns when it is complete. Returns false if requests were still in progress at the end.
     ///
-    /// The daemon first reports that it is not ready, and accepts requests until the load balancer has stopped sending them. It then waits
-    /// for the requests in progress. The whole shutdown takes at most the grace period.
+    /// The daemon first reports that it is not ready. Until the load balancer has stopped sending requests, it accepts those that can be
+    /// completed in time (see StopAdmission). It then waits for the requests in progress, and refuses those that are still without a
+    /// response shortly before the end. The whole shutdown takes at most the grace period.
     bool stop();
 
 private:
@@ -76,6 +81,10 @@
     std::unique_ptr<BatchDispatcher> m_batchDispatcher;
     std::unique_ptr<PieceRouter> m_pieceRouter;
     std::unique_ptr<StageTimes> m_stageTimes;
+    std::unique_ptr<RouteDurations> m_routeDurations;
+    std::unique_ptr<UnansweredRequests> m_unanswered;
+    std::unique_ptr<StopSchedule> m_stopSchedule;
+    std::unique_ptr<BufferBudget> m_responseMemory;
     std::unique_ptr<FleetFollower> m_follower;
     std::unique_ptr<RelayContext> m_relayContext;
     std::unique_ptr<RelayFrontEnd> m_frontEnd;
--- a/Tests/Site/SiteFleet.cpp
+++ b/Tests/Site/SiteFleet.cpp
@@ -88,6 +88,9 @@
         {"name":"once","hostname":"h","path_prefix":"/once/","type":"non_idempotent","timeout_ms":2000,"target_latency_ms":300,"service":"plain","max_attempts":1},
         {"name":"stream","hostname":"h","path_prefix":"/stream/","type":"streaming","timeout_ms":4000,"target_latency_ms":1000,"service":"model","max_attempts":1,
          "session_affinity":true,"phases":[{"service":"stage","after":[],"byte_count":100},{"service":"stage","after":[0],"byte_count":100}]},
+        {"name":"patient","hostname":"h","path_prefix":"/patient/","type":"streaming","timeout_ms":20000,"target_latency_ms":6000,"service":"model","max_attempts":1,
+         "phases":[{"service":"stage","after":[],"byte_count":100},{"service":"stage","after":[0],"byte_count":100}]},
+        {"name":"brisk","hostname":"h","path_prefix":"/brisk-stream/","type":"streaming","timeout_ms":20000,"target_latency_ms":300,"service":"model","max_attempts":1},
         {"name":"resume","hostname":"h","path_prefix":"/streamed/","type":"streaming","timeout_ms":4000,"target_latency_ms":1000,"service":"model","max_attempts":2,"resumable":true}],
         "services":[{"name":"plain","max_connections":8},{"name":"model"},{"name":"stage","fragments":{"capacity":1,"queue":2,"batch":8,"call_ms":30,"item_ms":1,"headroom_mb":1,"handle_s":4}}],
         "tenants":[{"name":"mill","api_keys":[)"
--- a/Tests/Site/SiteTest.cpp
+++ b/Tests/Site/SiteTest.cpp
@@ -33,6 +33,9 @@
     CPPUNIT_TEST(forgottenHistoryLosesNothing);
     CPPUNIT_TEST(daemonBornInAnOutageServes);
     CPPUNIT_TEST(plannedStopCutsNothing);
+    CPPUNIT_TEST(plannedStopRefusesWhatCannotEndInTime);
+    CPPUNIT_TEST(plannedStopAnswersWhatWaitsForItsStages);
+    CPPUNIT_TEST(plannedStopAnswersWhatItPassesOn);
     CPPUNIT_TEST(inputBeyondTheLimitsIsRefused);
     CPPUNIT_TEST_SUITE_END();
 
@@ -409,6 +412,81 @@
         stopped.wait();
     }
 
+    /// The grace period is 4 s; the streams take 3 s and their route allows 4 s.
+    void plannedStopRefusesWhatCannotEndInTime()
+    {
+        SiteFleet fleet(2);
+        fleet.start();
+        for (const std::string name : {"model-1", "model-2"}) {
+            fleet.target(name).setServiceTime(std::chrono::milliseconds(600));
+        }
+        auto early = std::async(std::launch::async, [&fleet] { return fleet.send(1, makeStagedRequest("w1")); });
+        CPPUNIT_ASSERT(SiteFleet::waitFor([&] { return executionCount(fleet, "w1") > 0; }));
+        auto stopped = std::async(std::launch::async, [&fleet] { return fleet.daemon(1).stop(); });
+        CPPUNIT_ASSERT(SiteFleet::waitFor([&] { return !fleet.isReady(1); }));
+        std::this_thread::sleep_for(std::chrono::milliseconds(1'200));
+        const SiteFleet::Response late = fleet.send(1, makeStagedRequest("w2"));
+        CPPUNIT_ASSERT_EQUAL(503U, late.status);
+        CPPUNIT_ASSERT(late.complete && !late.retryAfter.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), executionCount(fleet, "w2"));
+        CPPUNIT_ASSERT_EQUAL(200U, early.get().status);
+        CPPUNIT_ASSERT(stopped.get());
+    }
+
+    /// No stage target is available, so the pieces wait until after the grace period.
+    void plannedStopAnswersWhatWaitsForItsStages()
+    {
+        SiteFleet fleet(2);
+        fleet.start();
+        std::this_thread::sleep_for(std::chrono::milliseconds(2'200)); // Targets that vanish right after an outage remain in use.
+        fleet.removeTarget("stage-1");
+        fleet.removeTarget("stage-2");
+        std::this_thread::sleep_for(std::chrono::milliseconds(1'200)); // Until the daemons have read the removal.
+        const auto begin = std::chrono::steady_clock::now();
+        auto waiting = std::async(std::launch::async, [&fleet] {
+            SiteFleet::Request request = makeStagedRequest("x1");
+            request.path = "/patient/x";
+            return fleet.send(1, request);
+        });
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        CPPUNIT_ASSERT(fleet.daemon(1).stop());
+        const SiteFleet::Response response = waiting.get();
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(response.body, 503U, response.status);
+        CPPUNIT_ASSERT(response.complete);
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begin < std::chrono::milliseconds(4'300));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), executionCount(fleet, "x1"));
+    }
+
+    /// Clients send until the daemon ends. Each request that a target executes is answered.
+    void plannedStopAnswersWhatItPassesOn()
+    {
+        SiteFleet fleet(2);
+        fleet.start();
+        std::atomic<bool> ended{false};
+        std::vector<std::future<std::vector<std::string>>> clients;
+        for (int client = 0; client < 16; ++client) {
+            clients.push_back(std::async(std::launch::async, [&fleet, &ended, client] {
+                std::vector<std::string> unanswered;
+                for (int n = 0; !ended; ++n) {
+                    const std::string id = "y" + std::to_string(client) + "n" + std::to_string(n);
+                    if (!fleet.send(1, makeRequest("/once/x", id)).complete) {
+                        unanswered.push_back(id);
+                    }
+                }
+                return unanswered;
+            }));
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        CPPUNIT_ASSERT(fleet.daemon(1).stop());
+        fleet.killDaemon(1);
+        ended = true;
+        for (auto &client : clients) {
+            for (const std::string &it : client.get()) {
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(it, std::size_t(0), executionCount(fleet, it));
+            }
+        }
+    }
+
     void inputBeyondTheLimitsIsRefused()
     {
         SiteFleet fleet(1);
