Bound, time and attribute what targets send

Cause: found by reading. A refusal that names another request counted as proof that this one had not run. A late copy of a batch response was taken for the response to the next call, so that pieces got the results of other requests. Streams had no limit on the time without an event, events and buffered responses none on their memory but 64 MiB each. An interim response (1xx) left the final one to be taken for the next call's. Change: only an answer for this id, or a refusal without an id on a connection that carried nothing else, is proof. Batch answers with results that were reported before are rejected and their connection is closed. A stream whose last event is incomplete does not end as complete.

--- a/Fakes/FakeFleetTarget.cpp
+++ b/Fakes/FakeFleetTarget.cpp
@@ -12,6 +12,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
 #include <sstream>
 
 namespace Guavalock
@@ -31,6 +32,7 @@
 constexpr const char *lastEventIdHeader = "Last-Event-Id";
 constexpr const char *inputCountHeader = "X-Guavalock-Input-Count";
 constexpr int eventsPerStream = 5;
+constexpr std::size_t endlessBytes = 4'096; ///< Written at a time by endless responses.
 
 } // namespace
 
@@ -83,6 +85,19 @@
     return m_storedResults.size();
 }
 
+std::string FakeFleetTarget::resultOwner(const std::string &handle) const
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto it = m_resultOwners.find(handle);
+    return it == m_resultOwners.end() ? std::string() : it->second;
+}
+
+std::size_t FakeFleetTarget::foreignInputs() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_foreignInputs;
+}
+
 std::size_t FakeFleetTarget::arrivals() const
 {
     const std::scoped_lock lock(m_mutex);
@@ -159,6 +174,10 @@
         const std::scoped_lock lock(m_mutex);
         ++m_executionCounts[std::string(request[attemptIdHeader])];
     }
+    if (fault == Fault::EndlessHead) {
+        const std::string line = "X-Long: " + std::string(endlessBytes, 'x') + "\r\n";
+        co_return co_await sendEndlessly(socket, "HTTP/1.1 200 OK\r\n" + line, line, {});
+    }
     if (request.target().find("stream") != std::string::npos) {
         co_return co_await sendStream(socket, request, fault);
     }
@@ -174,6 +193,21 @@
     }
 }
 
+Asio::awaitable<bool> FakeFleetTarget::sendEndlessly(FakeServer::Socket &socket, std::string head, std::string repeated,
+                                                     std::chrono::milliseconds pause)
+{
+    Asio::steady_timer timer(m_server.strand());
+    while (true) {
+        const auto [ec, n] = co_await Asio::async_write(socket, Asio::buffer(head), Asio::as_tuple(Asio::use_awaitable));
+        if (ec) {
+            co_return false;
+        }
+        head = repeated;
+        timer.expires_after(pause);
+        co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
+    }
+}
+
 Asio::awaitable<bool> FakeFleetTarget::sendResponse(FakeServer::Socket &socket, const FakeServer::Request &request, Fault fault)
 {
     co_await simulateWork();
@@ -194,6 +228,17 @@
         response.erase(signatureHeader);
         co_return co_await FakeServer::send(socket, std::move(response));
     }
+    case Fault::ForeignRefusal: {
+        FakeServer::Response response = signedResponse(request, 503, "{}");
+        response.set(attemptIdHeader, "another");
+        response.set(notExecutedHeader, "1");
+        co_return co_await FakeServer::send(socket, std::move(response));
+    }
+    case Fault::Endless: {
+        const std::string head = "HTTP/1.1 200 OK\r\n" + std::string(attemptIdHeader) + ": " + std::string(request[attemptIdHeader])
+            + "\r\n" + signatureHeader + ": s\r\n\r\n";
+        co_return co_await sendEndlessly(socket, head, std::string(endlessBytes, 'x'), {});
+    }
     case Fault::Foreign: {
         FakeServer::Response response = signedResponse(request, 200, "foreign");
         response.set(attemptIdHeader, "another");
@@ -213,6 +258,13 @@
     const int first = lastEventId.empty() ? 1 : std::stoi(std::string(lastEventId)) + 1;
     for (int it = first; it <= eventsPerStream; ++it) {
         co_await simulateWork();
+        if (it == 2 && fault == Fault::Stall) {
+            co_return co_await sendEndlessly(socket, "3\r\n:\n\n\r\n", "3\r\n:\n\n\r\n", std::chrono::milliseconds(50));
+        }
+        if (it == 2 && fault == Fault::Endless) {
+            const std::string chunk = "1000\r\n" + std::string(0x1000, 'x') + "\r\n";
+            co_return co_await sendEndlessly(socket, chunk, chunk, {});
+        }
         const std::string event = "id: " + std::to_string(it) + "\ndata: " + id + " " + std::string(request[inputCountHeader]) + "\n\n";
         const bool truncated = fault == Fault::Cut && it == 3;
         const std::string sent = truncated ? event.substr(0, event.size() / 2) : event;
@@ -231,7 +283,8 @@
 
 Asio::awaitable<bool> FakeFleetTarget::handleBatch(FakeServer::Socket &socket, const FakeServer::Request &request)
 {
-    if (consumeFault() == Fault::Refuse) {
+    const Fault fault = consumeFault();
+    if (fault == Fault::Refuse) {
         FakeServer::Response refusal = FakeServer::jsonResponse(503, "{}");
         refusal.set(notExecutedHeader, "1");
         co_return co_await FakeServer::send(socket, std::move(refusal));
@@ -247,6 +300,14 @@
         for (std::size_t it = 0; it < entries.size(); ++it) {
             const std::string handle = FakeAddress::text() + ":" + std::to_string(m_port) + "/" + std::to_string(++m_lastResultNumber);
             m_storedResults.insert(handle);
+            const std::string owner(entries[it].at("id").as_string());
+            m_resultOwners[handle] = owner;
+            if (const Json::value *inputs = entries[it].as_object().if_contains("inputs")) {
+                m_foreignInputs += static_cast<std::size_t>(std::ranges::count_if(inputs->as_array(), [&](const Json::value &input) {
+                    const auto known = m_resultOwners.find(std::string(input.as_string()));
+                    return known != m_resultOwners.end() && known->second != owner;
+                }));
+            }
             Json::object result;
             result["handle"] = handle;
             resultEntries.push_back(std::move(result));
@@ -254,8 +315,12 @@
     }
     Json::object reply;
     reply["entries"] = std::move(resultEntries);
-    FakeServer::Response response = FakeServer::jsonResponse(200, Json::serialize(reply));
-    co_return co_await FakeServer::send(socket, std::move(response));
+    std::string &last = m_lastBatchResponses[socket.remote_endpoint().port()];
+    const std::string previous = std::exchange(last, Json::serialize(reply));
+    if (fault == Fault::Repeat && !previous.empty()) {
+        co_await FakeServer::send(socket, FakeServer::jsonResponse(200, previous));
+    }
+    co_return co_await FakeServer::send(socket, FakeServer::jsonResponse(200, Json::serialize(reply)));
 }
 
 } // namespace Guavalock
--- a/Fakes/FakeFleetTarget.h
+++ b/Fakes/FakeFleetTarget.h
@@ -27,6 +27,11 @@
         Error, ///< Executes the request and responds with an internal error.
         Unsigned, ///< Omits the signature header.
         Foreign, ///< Responds with the attempt id of another request.
+        ForeignRefusal, ///< Executes the request and responds that another one was not executed.
+        Stall, ///< Sends one event of a stream, then comments without end.
+        Endless, ///< Sends bytes without end: in a stream within an event, otherwise in the body.
+        EndlessHead, ///< Sends headers without end.
+        Repeat, ///< When the next batch has arrived on a connection, sends the previous response again before its own.
     };
 
     FakeFleetTarget(const boost::asio::any_io_executor &strand, std::uint16_t port, std::string id);
@@ -49,6 +54,12 @@
     /// Returns the number of results that have not been released.
     std::size_t results() const;
 
+    /// Returns the request that a result was produced for, or an empty string if it was not produced here.
+    std::string resultOwner(const std::string &handle) const;
+
+    /// Returns how many inputs of batch entries were results that this target had produced for another request.
+    std::size_t foreignInputs() const;
+
     /// Returns the number of requests received, including rejected ones.
     std::size_t arrivals() const;
 
@@ -63,6 +74,9 @@
     void releaseResults(const FakeServer::Request &request);
     boost::asio::awaitable<bool> sendResponse(FakeServer::Socket &socket, const FakeServer::Request &request, Fault fault);
     boost::asio::awaitable<bool> sendStream(FakeServer::Socket &socket, const FakeServer::Request &request, Fault fault);
+    /// Sends a text again and again until the caller closes the connection.
+    boost::asio::awaitable<bool> sendEndlessly(FakeServer::Socket &socket, std::string head, std::string repeated,
+                                               std::chrono::milliseconds pause);
     boost::asio::awaitable<void> simulateWork();
     Fault consumeFault();
     FakeServer::Response signedResponse(const FakeServer::Request &request, unsigned status, std::string body) const;
@@ -74,6 +88,9 @@
     std::map<std::string, std::size_t> m_executionCounts;
     std::set<std::string> m_storedResults;
     std::string m_lastHeaders;
+    std::map<std::uint16_t, std::string> m_lastBatchResponses; ///< By the caller's port, which identifies a connection.
+    std::map<std::string, std::string> m_resultOwners; ///< The request that each result was produced for, by handle.
+    std::size_t m_foreignInputs = 0;
     Fault m_fault = Fault::None;
     std::size_t m_remainingFaults = 0;
     std::chrono::milliseconds m_serviceTime{2};
--- a/Source/Batching/BatchDispatcher.cpp
+++ b/Source/Batching/BatchDispatcher.cpp
@@ -43,6 +43,7 @@
 constexpr double idleWaitInCalls = 0.1; ///< Expected wait for the next idle target when several are busy, as a fraction of a call.
 /// Requests with less slack than this are refused, because the duration of later stages varies by as much.
 constexpr Milliseconds refusalHeadroom{100};
+constexpr std::uint64_t maxStageResponseBytes = 1024 * 1024; ///< Far above the answer to the largest batch.
 constexpr double slowThreshold = 2.0; ///< A target whose calls take this many times the configured duration counts as slow.
 
 std::string inMilliseconds(Clock::Duration duration)
@@ -206,7 +207,7 @@
     Asio::steady_timer timer(m_strand, freeDelay);
     co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
     if (!worker->freeClient) {
-        worker->freeClient = std::make_unique<HttpClient>(m_strand, worker->target.address);
+        worker->freeClient = std::make_unique<HttpClient>(m_strand, worker->target.address, maxStageResponseBytes);
     }
     while (!worker->handlesToFree.empty()) {
         HttpClient::Request request;
@@ -334,7 +335,7 @@
     }
     const Clock::Duration expected = expectedTime(parameters, pieces.size());
     if (!worker->batchClient) {
-        worker->batchClient = std::make_unique<HttpClient>(m_strand, worker->target.address);
+        worker->batchClient = std::make_unique<HttpClient>(m_strand, worker->target.address, maxStageResponseBytes);
     }
     HttpClient::Request request;
     request.method = "POST";
@@ -399,6 +400,18 @@
         handleFailure(name, worker, AttemptReport::Outcome::Failed);
         return;
     }
+    std::vector<std::string> handles;
+    for (const StageCodec::PieceResponse &it : *responses) {
+        if (it.outcome == StageCodec::PieceResponse::Outcome::Completed) {
+            handles.push_back(it.handle);
+        }
+    }
+    if (!worker.recordHandles(handles)) {
+        // The answer to this call may still follow on the connection.
+        worker.batchClient.reset();
+        handleFailure(name, worker, AttemptReport::Outcome::ConnectionLost);
+        return;
+    }
     const Clock::TimePoint now = m_dependencies.clock.now();
     std::vector<std::string> unwanted;
     bool noRoom = false;
--- a/Source/Batching/BatchWorker.cpp
+++ b/Source/Batching/BatchWorker.cpp
@@ -20,6 +20,7 @@
 /// If the last call ended within this time and was not queued, no call of another daemon is assumed to occupy the target.
 constexpr std::chrono::seconds recentCallWindow{2};
 constexpr double maxUnqueuedSlowdown = 2.0; ///< A call with a greater slowdown has waited behind a call of another daemon.
+constexpr std::size_t rememberedAnswers = 16; ///< Covers the calls of several seconds.
 constexpr Seconds slowdownDecay{3}; ///< Time constant of the decay, so that a slow target is retried within a few seconds.
 
 } // namespace
@@ -57,6 +58,21 @@
     return m_recovering ? std::min<std::size_t>(maxBatchSize, 1) : maxBatchSize;
 }
 
+bool BatchWorker::recordHandles(const std::vector<std::string> &handles)
+{
+    const bool known = std::ranges::any_of(handles, [this](const std::string &handle) {
+        return std::ranges::any_of(m_recentHandles, [&](const auto &answer) { return answer.contains(handle); });
+    });
+    if (known) {
+        return false;
+    }
+    m_recentHandles.emplace_back(handles.begin(), handles.end());
+    if (m_recentHandles.size() > rememberedAnswers) {
+        m_recentHandles.pop_front();
+    }
+    return true;
+}
+
 void BatchWorker::recordCallFailure()
 {
     m_recovering = true;
--- a/Source/Batching/BatchWorker.h
+++ b/Source/Batching/BatchWorker.h
@@ -5,7 +5,9 @@
 #include "Fleet/SelectedTarget.h"
 #include "Kernel/Clock.h"
 
+#include <deque>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -45,6 +47,10 @@
 
     void recordCallDuration(Clock::Duration duration, Clock::Duration expectedDuration, Clock::TimePoint now);
 
+    /// Records the results that an answer reports. Returns false if one of them was reported before, so that the answer is a late copy
+    /// of an earlier one.
+    bool recordHandles(const std::vector<std::string> &handles);
+
     SelectedTarget target;
     bool busy = false;
     Clock::TimePoint backoffUntil{}; ///< End of the back-off after the target refused a call.
@@ -53,10 +59,11 @@
     ResultStorage storage;
     std::vector<std::string> handlesToFree; ///< Results to free with the next free call.
     bool freeing = false;
-    std::unique_ptr<HttpClient> batchClient;
+    std::unique_ptr<HttpClient> batchClient; ///< Null until the first call, and after an answer that belongs to another call.
     std::unique_ptr<HttpClient> freeClient;
 
 private:
+    std::deque<std::set<std::string>> m_recentHandles; ///< Results of recent answers, latest last.
     std::uint64_t m_storageAtStart = 0; ///< Available storage when the current call started, which is when the target checks it.
     bool m_recovering = false; ///< A call failed, and none has been answered completely since.
     double m_slowdown = 1.0;
--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -19,14 +19,15 @@
 {
 
 constexpr unsigned httpVersion = 11;
-constexpr std::uint64_t maxResponseBytes = 64ULL * 1024 * 1024;
+constexpr unsigned firstFinalStatus = 200;
 constexpr const char *loadHeader = "X-Load";
 
 } // namespace
 
-HttpClient::HttpClient(Asio::any_io_executor strand, Endpoint endpoint)
+HttpClient::HttpClient(Asio::any_io_executor strand, Endpoint endpoint, std::uint64_t maxResponseBytes)
     : m_strand(std::move(strand))
     , m_endpoint(std::move(endpoint))
+    , m_maxResponseBytes(maxResponseBytes)
 {
 }
 
@@ -92,10 +93,11 @@
         co_return std::nullopt;
     }
     Http::response_parser<Http::string_body> parser;
-    parser.body_limit(maxResponseBytes);
+    parser.body_limit(m_maxResponseBytes);
     const auto [ec, n]
         = co_await Http::async_read(m_connection->socket(), m_connection->buffer(), parser, Asio::as_tuple(Asio::use_awaitable));
-    if (ec) {
+    // After an interim response, the final one would be taken for the response to the next call.
+    if (ec || parser.get().result_int() < firstFinalStatus) {
         co_return std::nullopt;
     }
     Response response{parser.get().result_int(), std::move(parser.get().body()), std::string(parser.get()[loadHeader])};
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -42,7 +43,10 @@
         TimedOut, ///< The response was not complete within the timeout.
     };
 
-    HttpClient(boost::asio::any_io_executor strand, Endpoint endpoint);
+    /// Bounds the memory that a faulty server can occupy. Above the largest answer of a record store.
+    static constexpr std::uint64_t defaultMaxResponseBytes = 8ULL * 1024 * 1024;
+
+    HttpClient(boost::asio::any_io_executor strand, Endpoint endpoint, std::uint64_t maxResponseBytes = defaultMaxResponseBytes);
     ~HttpClient();
 
     /// Sends a request. Returns nullopt if no complete response arrives within the timeout; the server may have processed the request.
@@ -60,6 +64,7 @@
 
     boost::asio::any_io_executor m_strand;
     Endpoint m_endpoint;
+    std::uint64_t m_maxResponseBytes;
     std::unique_ptr<Connection> m_connection;
     std::optional<std::chrono::milliseconds> m_connectTimeout;
     Failure m_failure = Failure::None;
--- a/Source/Relay/EventSplitter.cpp
+++ b/Source/Relay/EventSplitter.cpp
@@ -1,11 +1,15 @@
 #include "Relay/EventSplitter.h"
 
+#include <algorithm>
+
 namespace Guavalock
 {
 
 namespace
 {
 
+constexpr std::size_t maxSeparatorBytes = 4; ///< Of the separator between two events.
+
 /// Returns the length of the complete events at the start of the text.
 std::size_t completeEventsLength(std::string_view text)
 {
@@ -20,8 +24,11 @@
 
 std::string EventSplitter::append(std::string_view bytes)
 {
+    // The bytes before do not contain the end of an event, but may contain its beginning.
+    const std::size_t searched = m_pending.size() - std::min(m_pending.size(), maxSeparatorBytes - 1);
     m_pending.append(bytes);
-    const std::size_t complete = completeEventsLength(m_pending);
+    const std::size_t found = completeEventsLength(std::string_view(m_pending).substr(searched));
+    const std::size_t complete = found == 0 ? 0 : searched + found;
     std::string events = m_pending.substr(0, complete);
     m_pending.erase(0, complete);
     updateLastEventId(events);
@@ -50,6 +57,23 @@
     }
 }
 
+bool EventSplitter::containsData(std::string_view events)
+{
+    bool lineStart = true;
+    for (const char it : events) {
+        if (lineStart && it != ':' && it != '\n' && it != '\r') {
+            return true;
+        }
+        lineStart = it == '\n';
+    }
+    return false;
+}
+
+bool EventSplitter::overflowed() const
+{
+    return m_pending.size() > maxEventBytes;
+}
+
 void EventSplitter::discardPartialEvent()
 {
     m_pending.clear();
--- a/Source/Relay/EventSplitter.h
+++ b/Source/Relay/EventSplitter.h
@@ -10,9 +10,17 @@
 class EventSplitter
 {
 public:
+    static constexpr std::size_t maxEventBytes = 1024 * 1024; ///< Far above a valid event. Bounds the memory that a stream can occupy.
+
     /// Buffers bytes and returns the events completed by them.
     std::string append(std::string_view bytes);
 
+    /// Returns whether complete events contain anything but comments, which servers send to keep a connection open.
+    static bool containsData(std::string_view events);
+
+    /// Returns whether an incomplete event exceeds maxEventBytes.
+    bool overflowed() const;
+
     /// Discards an incomplete event.
     void discardPartialEvent();
 
--- a/Source/Relay/RelayAttempt.cpp
+++ b/Source/Relay/RelayAttempt.cpp
@@ -3,6 +3,7 @@
 #include "Fleet/RouteRecord.h"
 #include "Flow/CancelScope.h"
 #include "Flow/DeadlineTimer.h"
+#include "Relay/BufferBudget.h"
 #include "Relay/OpaqueRequest.h"
 #include "Relay/RelayCodec.h"
 #include "Relay/ResponseSink.h"
@@ -124,7 +125,10 @@
     }
     m_report.latency = std::chrono::duration_cast<std::chrono::microseconds>(m_context.clock.now() - start);
     m_report.load = head->load;
-    if (head->requestId != m_parameters.request.id && !head->notExecuted) {
+    // A late response to an earlier request proves nothing about this one. A refusal may lack the id, but then it can only be attributed
+    // to this request if nothing else was sent on the connection.
+    const bool unattributedRefusal = head->notExecuted && head->requestId.empty() && !m_exchange.reused();
+    if (head->requestId != m_parameters.request.id && !unattributedRefusal) {
         co_return makeFailureOutcome();
     }
     if (m_parameters.route.semantics == ExecutionSemantics::Stream && head->isSuccess() && head->isSigned && !head->hasContentEncoding) {
@@ -136,9 +140,13 @@
 Asio::awaitable<AttemptOutcome> RelayAttempt::readComplete(UpstreamResponseHead head)
 {
     AttemptOutcome outcome;
+    BufferBudget::Share memory(m_context.responseMemory);
     auto readResult = UpstreamExchange::ReadResult::More;
     while (readResult == UpstreamExchange::ReadResult::More) {
         readResult = co_await m_exchange.read(outcome.body);
+        if (!memory.grow(outcome.body.size())) {
+            readResult = UpstreamExchange::ReadResult::Failed;
+        }
     }
     if (head.notExecuted) {
         co_return makeOutcome(head.inputsMissing ? AttemptOutcome::Result::InputsMissing : AttemptOutcome::Result::NotExecuted,
@@ -171,11 +179,21 @@
 Asio::awaitable<AttemptOutcome> RelayAttempt::forwardStream(UpstreamResponseHead head)
 {
     auto readResult = UpstreamExchange::ReadResult::More;
+    std::optional<DeadlineTimer> stallTimer;
+    bool progressed = true;
     while (readResult == UpstreamExchange::ReadResult::More) {
+        if (progressed) {
+            stallTimer.emplace(m_cancellation.strand(), m_context.clock.now() + m_parameters.eventTimeout, [this] { m_exchange.close(); });
+        }
         std::string data;
         readResult = co_await m_exchange.read(data);
+        std::string events = m_progress.events.append(data);
+        progressed = EventSplitter::containsData(events);
+        if (m_progress.events.overflowed()) {
+            readResult = UpstreamExchange::ReadResult::Failed;
+        }
         if (m_parameters.route.resumable) {
-            data = m_progress.events.append(data);
+            data = std::move(events);
         }
         if (!data.empty()) {
             const bool forwarded = co_await forwardChunk(head, data);
@@ -184,6 +202,7 @@
             }
         }
     }
+    stallTimer.reset();
     const bool complete = readResult == UpstreamExchange::ReadResult::Complete && !m_progress.events.hasPartialEvent();
     if (!complete) {
         m_progress.events.discardPartialEvent();
--- a/Source/Relay/RelayAttempt.h
+++ b/Source/Relay/RelayAttempt.h
@@ -34,6 +34,8 @@
         std::size_t maxIdleConnections; ///< Limit on idle connections kept to the target.
         /// Timeout for the first byte of the response; unset if no retry is possible.
         std::optional<std::chrono::milliseconds> firstByteTimeout;
+        /// Maximum time between two complete events of a stream. Other bytes, such as comments, are no progress.
+        std::chrono::milliseconds eventTimeout;
         std::function<bool()> mayAbandon; ///< Called when that timeout expires; the attempt continues if it returns false.
     };
 
--- a/Source/Relay/UpstreamExchange.cpp
+++ b/Source/Relay/UpstreamExchange.cpp
@@ -21,7 +21,7 @@
 namespace
 {
 
-/// Far above any valid response. Bounds the memory that a faulty target can occupy.
+/// Far above any valid response. A buffered response is limited by BufferBudget as well.
 constexpr std::uint64_t maxResponseBytes = 64ULL * 1024 * 1024;
 
 } // namespace
