Make no call whose result is too late for the calls after it

Cause: pieces were expired at the request's deadline, although calls of later stages and their fixed time were still to come. Targets worked for requests that could no longer be answered, and these were refused only at their end. Change: the deadline of a piece is the latest start of its call that leaves the fixed time of the calls after it; beyond it the request is refused at once.

--- a/Source/Batching/Piece.h
+++ b/Source/Batching/Piece.h
@@ -25,7 +25,7 @@
     bool refusable = false; ///< Whether the piece may be refused: no result existed for its request when it was submitted.
     unsigned rank = 0; ///< Priority of the request; zero is the highest.
     Clock::TimePoint softDeadline; ///< Soft deadline: a later result makes the request miss its objective.
-    Clock::TimePoint deadline; ///< Hard deadline: a later result is useless.
+    Clock::TimePoint deadline; ///< Hard deadline: the result of a call that starts later is useless.
 };
 
 } // namespace Guavalock
--- a/Source/Batching/StageRun.cpp
+++ b/Source/Batching/StageRun.cpp
@@ -64,10 +64,11 @@
     for (Piece &it : pieces) {
         it.refusable = m_parameters.noOutputSent && !m_plan.started();
         it.rank = m_parameters.rank;
-        it.deadline = m_parameters.deadline;
+        it.deadline = m_parameters.deadline - m_parameters.shortestCall(it.service);
         it.softDeadline = answerStart;
         for (const std::string &service : m_plan.servicesAfter(it.stage)) {
             it.softDeadline -= expected(service);
+            it.deadline -= m_parameters.shortestCall(service);
         }
     }
     if (!pieces.empty()) {
--- a/Source/Batching/StageRun.h
+++ b/Source/Batching/StageRun.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -32,6 +33,10 @@
         Clock::TimePoint deadline;
         std::string answerService; ///< The service that answers the request once its stages are complete.
         bool noOutputSent = true; ///< The caller has received no output yet, so the request may still be refused.
+        /// Returns the shortest duration of a call to a service. Calls that would end too late for the calls after them are not made.
+        std::function<Clock::Duration(const std::string &service)> shortestCall = [](const std::string &) {
+            return Clock::Duration::zero();
+        };
     };
 
     StageRun(PieceRouter &router, StageTimes &times, const Clock &clock, StagePlan plan, Parameters parameters, Cancellation &cancellation,
--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -156,6 +156,10 @@
         StagePlan plan(m_route->stages, m_request.pieceCounts, m_request.id, m_request.pieceKey);
         plan.setDestination(m_context.fleet.predictDataCentre(requirements(), *m_service, m_context.clock.now()));
         StageRun::Parameters parameters{m_rank, m_objectiveDeadline, firstEventDeadline(), m_service->name};
+        parameters.shortestCall = [catalogue = m_catalogue](const std::string &name) {
+            const ServiceRecord *service = catalogue->service(name);
+            return service != nullptr && service->batch ? Clock::Duration(service->batch->fixedCallTime) : Clock::Duration::zero();
+        };
         if (m_progress.started) {
             // An interrupted stream must resume before its client disconnects; the latency objective no longer applies.
             parameters.objectiveDeadline = std::min(m_deadline, m_context.clock.now() + clientIdleTimeout()) - responseMargin;
--- a/Tests/Batching/StageRunTest.cpp
+++ b/Tests/Batching/StageRunTest.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(resultsOfACancelledRequestAreFreed);
     CPPUNIT_TEST(resultsAfterTheEndGoBackToTheirOwner);
     CPPUNIT_TEST(piecesOfAnUnreachableOwnerAreCancelledLocally);
+    CPPUNIT_TEST(callsThatWouldEndTooLateForTheNextAreNotMade);
     CPPUNIT_TEST_SUITE_END();
 
     /// Records the messages that are sent to the owner.
@@ -188,6 +189,31 @@
         CPPUNIT_ASSERT_EQUAL(std::string("former-owner"), it.transport.released["h2"]);
     }
 
+    /// Three stages whose calls take 200 ms, and an answer that has to start within 5 s.
+    void callsThatWouldEndTooLateForTheNextAreNotMade()
+    {
+        Setting it;
+        const Clock::TimePoint end = it.clock.now() + std::chrono::seconds(5);
+        StageRun::Parameters parameters{1, end, end, "model", true};
+        parameters.shortestCall = [](const std::string &) {
+            return std::chrono::milliseconds(200);
+        };
+        it.transport.pieces.clear();
+        Cancellation cancellation(Asio::make_strand(it.context));
+        StagePlan plan({{"ledger", {}, 100}, {"yard", {0}, 100}, {"portal", {1}, 100}}, {1, 1, 1}, "r2", "key");
+        StageRun run(it.router, it.times, it.clock, std::move(plan), parameters, cancellation, "r2");
+        Asio::co_spawn(cancellation.strand(), run.run(), [](const std::exception_ptr &, StageRun::Outcome) {});
+        for (const int calls : {3, 2, 1}) {
+            it.turn();
+            const Piece piece = it.transport.pieces.back();
+            CPPUNIT_ASSERT(piece.deadline == end - calls * std::chrono::milliseconds(200));
+            it.router.deliver("owner", {{piece.number, PieceResult::Outcome::Completed, "h" + std::to_string(calls), "north"}});
+        }
+        it.turn();
+        it.cancellation.cancel(RefusalCause::CallerClosed);
+        it.turn();
+    }
+
     void piecesOfAnUnreachableOwnerAreCancelledLocally()
     {
         for (const bool connected : {false, true}) {
