Keep the logs of failed soak seeds, and show streams that end within an event

The soak renames the folder of a failed seed, so that a repeat does not write over its logs. BadBytesTest::streamsThatEndWithinAnEventDoNotLookWhole covers a stream that ends correctly after half an event.

--- a/Fakes/FakeFleetTarget.cpp
+++ b/Fakes/FakeFleetTarget.cpp
@@ -266,15 +266,18 @@
             co_return co_await sendEndlessly(socket, chunk, chunk, {});
         }
         const std::string event = "id: " + std::to_string(it) + "\ndata: " + id + " " + std::string(request[inputCountHeader]) + "\n\n";
-        const bool truncated = fault == Fault::Cut && it == 3;
+        const bool truncated = (fault == Fault::Cut || fault == Fault::PartialEnd) && it == 3;
         const std::string sent = truncated ? event.substr(0, event.size() / 2) : event;
         std::ostringstream size;
         size << std::hex << sent.size();
         text += size.str() + "\r\n" + sent + "\r\n";
         const auto [ec, n] = co_await Asio::async_write(socket, Asio::buffer(text), Asio::as_tuple(Asio::use_awaitable));
-        if (ec || truncated) {
+        if (ec || (truncated && fault == Fault::Cut)) {
             co_return false;
         }
+        if (truncated) {
+            break;
+        }
         text.clear();
     }
     co_await Asio::async_write(socket, Asio::buffer(std::string("0\r\n\r\n")), Asio::as_tuple(Asio::use_awaitable));
--- a/Fakes/FakeFleetTarget.h
+++ b/Fakes/FakeFleetTarget.h
@@ -30,6 +30,7 @@
         ForeignRefusal, ///< Executes the request and responds that another one was not executed.
         Stall, ///< Sends one event of a stream, then comments without end.
         Endless, ///< Sends bytes without end: in a stream within an event, otherwise in the body.
+        PartialEnd, ///< Ends a stream correctly after half an event.
         EndlessHead, ///< Sends headers without end.
         Repeat, ///< When the next batch has arrived on a connection, sends the previous response again before its own.
     };
--- a/Tests/Site/BadBytesTest.cpp
+++ b/Tests/Site/BadBytesTest.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(stalledStreamsAreResumedInTime);
     CPPUNIT_TEST(stalledStreamsThatCannotBeResumedEnd);
     CPPUNIT_TEST(slowStreamsAreNotCut);
+    CPPUNIT_TEST(streamsThatEndWithinAnEventDoNotLookWhole);
     CPPUNIT_TEST(endlessBytesHarmNoOtherCaller);
     CPPUNIT_TEST(largeResponsesShareABudget);
     CPPUNIT_TEST(commentsAreNoProgress);
@@ -152,6 +153,14 @@
         CPPUNIT_ASSERT(response.body.find("id: 5\n") != std::string::npos);
     }
 
+    void streamsThatEndWithinAnEventDoNotLookWhole()
+    {
+        SiteFleet fleet(1);
+        fleet.start();
+        setFaults(fleet, {"model-1", "model-2"}, Fault::PartialEnd, 1);
+        CPPUNIT_ASSERT(!fleet.send(0, makeRequest("/brisk-stream/x", "h1")).complete);
+    }
+
     void endlessBytesHarmNoOtherCaller()
     {
         SiteFleet fleet(1);
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -4,6 +4,7 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
+#include <chrono>
 #include <csignal>
 #include <filesystem>
 #include <iostream>
@@ -18,7 +19,7 @@
 
 /// Runs the seeds sequentially and exits with 1 if any of them violated a guarantee.
 ///
-/// The logs of a seed are kept until it is run again.
+/// The logs of a seed are kept until it is run again, and those of a failed run for good.
 int main(int argc, char **argv)
 {
     std::signal(SIGPIPE, SIG_IGN);
@@ -37,7 +38,13 @@
         for (const std::string &it : violations) {
             std::cout << "  " << it << '\n';
         }
-        failed += violations.empty() ? 0 : 1;
+        if (!violations.empty()) {
+            ++failed;
+            const auto time = std::chrono::system_clock::now().time_since_epoch();
+            const std::string kept = folder + "-failed-" + std::to_string(std::chrono::duration_cast<std::chrono::seconds>(time).count());
+            std::filesystem::rename(folder, kept);
+            std::cout << "  logs: " << kept << '\n';
+        }
     }
     std::cout << "soak: " << failed << " seeds with violations\n";
     return failed == 0 ? 0 : 1;
