Tell peers of a suspect request before it runs again or is refused

Cause: the message that a request's target crashed was sent to the peers, and the request was retried or refused without waiting. Change: peers acknowledge the message; the daemon waits for all connected peers, at most 250 ms, before it goes on. Copies of a request that run at two daemons at the same moment can still cost a third target.

--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -67,9 +67,10 @@
     , m_claims(std::make_unique<ClaimService>(*m_context, *m_writer))
     , m_localRoute(std::make_unique<LocalRoute>(*m_context))
     , m_peers(std::make_unique<PeerNetwork>(*m_context, *m_members, *m_localRoute, *m_configuration))
-    , m_stages(std::make_unique<StageRunner>(
-          *m_context, std::vector<AttemptRoute *>{m_localRoute.get(), m_peers.get()},
-          [this](std::uint64_t requestFingerprint, std::size_t crashes) { m_peers->broadcastTargetCrash(requestFingerprint, crashes); }))
+    , m_stages(std::make_unique<StageRunner>(*m_context, std::vector<AttemptRoute *>{m_localRoute.get(), m_peers.get()},
+                                             [this](std::uint64_t requestFingerprint, std::size_t crashes, Cancellation &cancellation) {
+                                                 return m_peers->announceTargetCrash(requestFingerprint, crashes, cancellation);
+                                             }))
     , m_pipelines(std::make_unique<PipelineRunner>(*m_context, *m_stages, *m_claims))
     , m_prober(std::make_unique<TargetProber>(*m_context))
 {
--- a/Source/Peer/FrameBuilder.cpp
+++ b/Source/Peer/FrameBuilder.cpp
@@ -97,6 +97,13 @@
     return finish(builder, Wire::Body::Death, body.Union());
 }
 
+FrameBuilder::Bytes FrameBuilder::deathSeen(std::uint64_t fingerprint, std::size_t deaths)
+{
+    flatbuffers::FlatBufferBuilder builder(initialBufferBytes);
+    const auto body = Wire::CreateDeathSeen(builder, fingerprint, static_cast<std::uint32_t>(deaths));
+    return finish(builder, Wire::Body::DeathSeen, body.Union());
+}
+
 FrameBuilder::Bytes FrameBuilder::targetStatus(const std::string &pool, const std::string &target, const LoadReport &report)
 {
     flatbuffers::FlatBufferBuilder builder(initialBufferBytes);
--- a/Source/Peer/FrameBuilder.h
+++ b/Source/Peer/FrameBuilder.h
@@ -38,6 +38,7 @@
     static Bytes tokens(std::uint64_t call, const std::vector<GeneratedToken> &tokens);
     static Bytes stageEnd(std::uint64_t call, const AttemptResult &result);
     static Bytes death(std::uint64_t fingerprint, std::size_t deaths);
+    static Bytes deathSeen(std::uint64_t fingerprint, std::size_t deaths);
     static Bytes targetStatus(const std::string &pool, const std::string &target, const LoadReport &report);
     static Bytes records(const std::vector<ConfigurationTable::OffsetRecord> &records, std::uint64_t from, std::uint64_t next);
     static Bytes snapshotRequest();
--- a/Source/Peer/FrameReader.cpp
+++ b/Source/Peer/FrameReader.cpp
@@ -147,6 +147,15 @@
     return true;
 }
 
+bool readDeathSeen(const Wire::Frame &frame, Clock::TimePoint, const FrameHandlers &handlers)
+{
+    const Wire::DeathSeen &wire = *frame.body_as_DeathSeen();
+    if (handlers.deathSeen) {
+        handlers.deathSeen(wire.fingerprint(), wire.deaths());
+    }
+    return true;
+}
+
 bool readTargetStatus(const Wire::Frame &frame, Clock::TimePoint, const FrameHandlers &handlers)
 {
     const Wire::TargetSign &wire = *frame.body_as_TargetSign();
@@ -221,6 +230,7 @@
     DecoderEntry{Wire::Body::SnapshotRequest, readSnapshotRequest},
     DecoderEntry{Wire::Body::Snapshot, readSnapshot},
     DecoderEntry{Wire::Body::TargetSign, readTargetStatus},
+    DecoderEntry{Wire::Body::DeathSeen, readDeathSeen},
 };
 
 } // namespace
--- a/Source/Peer/FrameReader.h
+++ b/Source/Peer/FrameReader.h
@@ -17,6 +17,7 @@
     std::function<void(std::uint64_t call, std::vector<GeneratedToken>)> tokens;
     std::function<void(std::uint64_t call, AttemptResult)> stageEnd;
     std::function<void(std::uint64_t fingerprint, std::size_t deaths)> death;
+    std::function<void(std::uint64_t fingerprint, std::size_t deaths)> deathSeen;
     std::function<void(std::vector<ConfigurationTable::OffsetRecord>, std::uint64_t from, std::uint64_t next)> records;
     std::function<void(const std::string &pool, const std::string &target, const LoadReport &)> targetStatus;
     std::function<void()> snapshotRequest;
--- a/Source/Peer/Generated/Peer_generated.h
+++ b/Source/Peer/Generated/Peer_generated.h
@@ -43,6 +43,9 @@
 struct Death;
 struct DeathBuilder;
 
+struct DeathSeen;
+struct DeathSeenBuilder;
+
 struct ConfigurationRecord;
 struct ConfigurationRecordBuilder;
 
@@ -81,11 +84,12 @@
   SnapshotRequest = 10,
   Snapshot = 11,
   TargetSign = 12,
+  DeathSeen = 13,
   MIN = NONE,
-  MAX = TargetSign
+  MAX = DeathSeen
 };
 
-inline const Body (&EnumValuesBody())[13] {
+inline const Body (&EnumValuesBody())[14] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -99,13 +103,14 @@
     Body::ConfigurationRecords,
     Body::SnapshotRequest,
     Body::Snapshot,
-    Body::TargetSign
+    Body::TargetSign,
+    Body::DeathSeen
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[14] = {
+  static const char * const names[15] = {
     "NONE",
     "Hello",
     "Proof",
@@ -119,13 +124,14 @@
     "SnapshotRequest",
     "Snapshot",
     "TargetSign",
+    "DeathSeen",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::TargetSign)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::DeathSeen)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -182,6 +188,10 @@
   static const Body enum_value = Body::TargetSign;
 };
 
+template<> struct BodyTraits<Guavalock::Wire::DeathSeen> {
+  static const Body enum_value = Body::DeathSeen;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -1138,6 +1148,63 @@
   static auto constexpr Create = CreateDeath;
 };
 
+struct DeathSeen FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DeathSeenBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_FINGERPRINT = 4,
+    VT_DEATHS = 6
+  };
+  uint64_t fingerprint() const {
+    return GetField<uint64_t>(VT_FINGERPRINT, 0);
+  }
+  uint32_t deaths() const {
+    return GetField<uint32_t>(VT_DEATHS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_FINGERPRINT, 8) &&
+           VerifyField<uint32_t>(verifier, VT_DEATHS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct DeathSeenBuilder {
+  typedef DeathSeen Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_fingerprint(uint64_t fingerprint) {
+    fbb_.AddElement<uint64_t>(DeathSeen::VT_FINGERPRINT, fingerprint, 0);
+  }
+  void add_deaths(uint32_t deaths) {
+    fbb_.AddElement<uint32_t>(DeathSeen::VT_DEATHS, deaths, 0);
+  }
+  explicit DeathSeenBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<DeathSeen> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<DeathSeen>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<DeathSeen> CreateDeathSeen(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t fingerprint = 0,
+    uint32_t deaths = 0) {
+  DeathSeenBuilder builder_(_fbb);
+  builder_.add_fingerprint(fingerprint);
+  builder_.add_deaths(deaths);
+  return builder_.Finish();
+}
+
+struct DeathSeen::Traits {
+  using type = DeathSeen;
+  static auto constexpr Create = CreateDeathSeen;
+};
+
 struct ConfigurationRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ConfigurationRecordBuilder Builder;
   struct Traits;
@@ -1774,6 +1841,9 @@
   const Guavalock::Wire::TargetSign *body_as_TargetSign() const {
     return body_type() == Guavalock::Wire::Body::TargetSign ? static_cast<const Guavalock::Wire::TargetSign *>(body()) : nullptr;
   }
+  const Guavalock::Wire::DeathSeen *body_as_DeathSeen() const {
+    return body_type() == Guavalock::Wire::Body::DeathSeen ? static_cast<const Guavalock::Wire::DeathSeen *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -1831,6 +1901,10 @@
   return body_as_TargetSign();
 }
 
+template<> inline const Guavalock::Wire::DeathSeen *Frame::body_as<Guavalock::Wire::DeathSeen>() const {
+  return body_as_DeathSeen();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1920,6 +1994,10 @@
       auto ptr = reinterpret_cast<const Guavalock::Wire::TargetSign *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::DeathSeen: {
+      auto ptr = reinterpret_cast<const Guavalock::Wire::DeathSeen *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/Source/Peer/PeerLink.cpp
+++ b/Source/Peer/PeerLink.cpp
@@ -61,6 +61,9 @@
     m_handlers.stageEnd = [this](std::uint64_t call, AttemptResult result) {
         finishCall(call, std::move(result));
     };
+    m_handlers.deathSeen = [this](std::uint64_t fingerprint, std::size_t crashes) {
+        finishAnnouncement(fingerprint, crashes);
+    };
     m_handlers.snapshot = [this](ConfigurationTree tree) {
         m_events.snapshot(std::move(tree));
     };
@@ -145,6 +148,29 @@
         waiting->deliver(resultWithoutTarget(StageAttemptOutcome::Lost, "the connection to the peer " + m_peer.vm + " was lost"));
     }
     m_calls.clear();
+    for (const auto &[key, handler] : std::exchange(m_announcements, {})) {
+        handler();
+    }
+}
+
+void PeerLink::announceCrashes(std::uint64_t fingerprint, std::size_t crashes, std::function<void()> handler)
+{
+    Asio::post(m_strand, [this, fingerprint, crashes, handler = std::move(handler)]() mutable {
+        if (!m_channel) {
+            handler();
+            return;
+        }
+        m_announcements.emplace(std::pair(fingerprint, crashes), std::move(handler));
+        m_channel->send(FrameBuilder::death(fingerprint, crashes));
+    });
+}
+
+void PeerLink::finishAnnouncement(std::uint64_t fingerprint, std::size_t crashes)
+{
+    const auto [first, last] = m_announcements.equal_range({fingerprint, crashes});
+    for (auto it = first; it != last; it = m_announcements.erase(it)) {
+        it->second();
+    }
 }
 
 void PeerLink::send(Bytes frame)
--- a/Source/Peer/PeerLink.h
+++ b/Source/Peer/PeerLink.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <utility>
 
 namespace Guavalock
 {
@@ -43,6 +44,9 @@
     /// Sends a control frame if the link is up. Thread-safe.
     void send(Bytes frame);
 
+    /// Tells the peer of target crashes. The handler is called on any thread when the peer has acknowledged them or the link is down.
+    void announceCrashes(std::uint64_t fingerprint, std::size_t crashes, std::function<void()> handler);
+
     /// Executes one attempt of a stage at the peer. Runs on the request's strand.
     boost::asio::awaitable<AttemptResult> call(const StageCall &stage, TokenSink &sink, Cancellation &cancellation);
 
@@ -57,6 +61,7 @@
     void deliverTokens(std::uint64_t call, std::vector<GeneratedToken> tokens);
     void finishCall(std::uint64_t call, AttemptResult result);
     void handleDisconnect();
+    void finishAnnouncement(std::uint64_t fingerprint, std::size_t crashes);
 
     const DaemonContext &m_context;
     MemberTable &m_members;
@@ -66,6 +71,8 @@
     FrameHandlers m_handlers;
     std::shared_ptr<FrameChannel> m_channel;
     std::map<std::uint64_t, std::shared_ptr<PeerCall>> m_calls;
+    /// By fingerprint and number of crashes.
+    std::multimap<std::pair<std::uint64_t, std::size_t>, std::function<void()>> m_announcements;
     std::atomic<std::uint64_t> m_lastCall{0};
     Backoff m_backoff;
     RandomEngine m_random;
--- a/Source/Peer/PeerNetwork.cpp
+++ b/Source/Peer/PeerNetwork.cpp
@@ -3,6 +3,7 @@
 #include "Decisions/Hash.h"
 #include "Flow/AttemptResult.h"
 #include "Flow/Cancellation.h"
+#include "Flow/OneShot.h"
 #include "Kernel/Counter.h"
 #include "Kernel/Metrics.h"
 #include "Peer/FrameChannel.h"
@@ -32,6 +33,8 @@
 constexpr std::chrono::milliseconds heartbeatInterval{1'000};
 constexpr std::chrono::milliseconds poolCheckInterval{100}; ///< Interval at which changes of the usable pools are detected.
 constexpr std::chrono::seconds staleLogAge{3}; ///< If the log has not been read for longer, configuration is requested from peers.
+/// Limits how long a suspect request waits until its peers know of the crash. Well above a round trip.
+constexpr std::chrono::milliseconds crashAnnouncementTimeout{250};
 constexpr std::size_t maxPeersTried = 3; ///< Per attempt.
 
 } // namespace
@@ -228,9 +231,20 @@
     }
 }
 
-void PeerNetwork::broadcastTargetCrash(std::uint64_t requestFingerprint, std::size_t crashes)
+Asio::awaitable<void> PeerNetwork::announceTargetCrash(std::uint64_t requestFingerprint, std::size_t crashes, Cancellation &cancellation)
 {
-    broadcast(FrameBuilder::death(requestFingerprint, crashes));
+    const auto acknowledged = std::make_shared<OneShot<bool>>(cancellation.strand());
+    const auto left = std::make_shared<std::atomic<std::size_t>>(m_links.size());
+    for (auto &[vm, link] : m_links) {
+        link->announceCrashes(requestFingerprint, crashes, [acknowledged, left] {
+            if (--*left == 0) {
+                acknowledged->set(true);
+            }
+        });
+    }
+    if (!m_links.empty()) {
+        co_await acknowledged->wait(m_context.clock.now() + crashAnnouncementTimeout, cancellation);
+    }
 }
 
 void PeerNetwork::sendTargetStatus(const std::string &pool, const std::string &target, const LoadReport &report)
--- a/Source/Peer/PeerNetwork.h
+++ b/Source/Peer/PeerNetwork.h
@@ -39,8 +39,9 @@
     /// Returns the number of stage calls in progress on behalf of peers.
     std::size_t callsInProgress() const;
 
-    /// Notifies all peers of a request that was in flight when its target crashed.
-    void broadcastTargetCrash(std::uint64_t requestFingerprint, std::size_t crashes);
+    /// Notifies all peers of a request that was in flight when its target crashed. Returns when all connected peers have acknowledged it,
+    /// after a time-out, or when the request is cancelled. Runs on the request's strand.
+    boost::asio::awaitable<void> announceTargetCrash(std::uint64_t requestFingerprint, std::size_t crashes, Cancellation &cancellation);
 
     /// Notifies the peers in the same data centre that the state of a target has changed.
     void sendTargetStatus(const std::string &pool, const std::string &target, const LoadReport &report);
--- a/Source/Peer/PeerSession.cpp
+++ b/Source/Peer/PeerSession.cpp
@@ -93,6 +93,7 @@
     };
     m_handlers.death = [this](std::uint64_t fingerprint, std::size_t deaths) {
         m_events.death(fingerprint, deaths);
+        m_channel->send(FrameBuilder::deathSeen(fingerprint, deaths));
     };
     m_handlers.records = [this, vm](std::vector<ConfigurationTable::OffsetRecord> records, std::uint64_t from, std::uint64_t next) {
         m_events.records(vm, std::move(records), from, next);
--- a/Source/Pipeline/StageRunner.cpp
+++ b/Source/Pipeline/StageRunner.cpp
@@ -112,6 +112,9 @@
             result.outcome = StageAttemptOutcome::Invalid;
             result.detail = reason.text;
         }
+        if (result.targetDied) {
+            co_await recordTargetDeath(state, cancellation);
+        }
         const StageRetryPolicy::Action action = afterFailure(state, *call, result, course);
         if (action.step == StageRetryPolicy::Step::Refuse) {
             const std::string detail = "stage " + settings.name + ": " + result.detail;
@@ -178,21 +181,18 @@
     m_context.accounts.recordAttempt(account, result.outcome, result.duration, {result.tokensIn, result.tokensOut});
 }
 
-bool StageRunner::recordTargetDeath(const RequestContext &state, const AttemptResult &result) const
+Asio::awaitable<void> StageRunner::recordTargetDeath(const RequestContext &state, Cancellation &cancellation) const
 {
-    if (!result.targetDied) {
-        return false;
-    }
     m_context.metrics.counter("target_deaths_total").add();
-    const Clock::TimePoint now = m_context.clock.now();
-    m_onTargetCrash(state.fingerprint, m_context.poison.recordDeath(state.fingerprint, now));
-    return m_context.poison.status(state.fingerprint, now) == PoisonTable::Status::Quarantined;
+    const std::size_t crashes = m_context.poison.recordDeath(state.fingerprint, m_context.clock.now());
+    co_await m_onTargetCrash(state.fingerprint, crashes, cancellation);
 }
 
 StageRetryPolicy::Action StageRunner::afterFailure(const RequestContext &state, StageCall &call, const AttemptResult &result,
                                                    StageRetryPolicy &course) const
 {
-    if (recordTargetDeath(state, result)) {
+    const bool quarantined = m_context.poison.status(state.fingerprint, m_context.clock.now()) == PoisonTable::Status::Quarantined;
+    if (result.targetDied && quarantined) {
         return {StageRetryPolicy::Step::Refuse, false, RefusalCause::Quarantined};
     }
     if (!result.target.empty()) {
--- a/Source/Pipeline/StageRunner.h
+++ b/Source/Pipeline/StageRunner.h
@@ -30,8 +30,10 @@
 class StageRunner
 {
 public:
-    /// Called when a target crashed while it was processing a request, with the number of known target crashes for that request.
-    using TargetCrashHandler = std::function<void(std::uint64_t fingerprint, std::size_t crashes)>;
+    /// Called when a target crashed while it was processing a request, with the number of known target crashes for that request. Returns
+    /// when other daemons know of it.
+    using TargetCrashHandler
+        = std::function<boost::asio::awaitable<void>(std::uint64_t fingerprint, std::size_t crashes, Cancellation &cancellation)>;
 
     /// Routes are tried in order. A route is used only when all earlier routes have no target for the stage.
     StageRunner(const DaemonContext &context, std::vector<AttemptRoute *> routes, TargetCrashHandler onTargetCrash);
@@ -51,7 +53,8 @@
                         const GenerationSink &sink) const;
     StageRetryPolicy::Action afterFailure(const RequestContext &state, StageCall &call, const AttemptResult &result,
                                           StageRetryPolicy &course) const;
-    bool recordTargetDeath(const RequestContext &state, const AttemptResult &result) const;
+    /// Records the crash of a target. Neither a retry nor a refusal may precede it, or another daemon would not know the suspect.
+    boost::asio::awaitable<void> recordTargetDeath(const RequestContext &state, Cancellation &cancellation) const;
 
     const DaemonContext &m_context;
     std::vector<AttemptRoute *> m_routes;
