--- a/Source/Relay/UnansweredRequests.cpp
+++ b/Source/Relay/UnansweredRequests.cpp
@@ -30,7 +30,7 @@
     const std::scoped_lock lock(m_mutex);
     for (const auto &[key, request] : m_requests) {
         // Responses begin on the request's strand, so none can begin between the check and the cancellation.
-        boost::asio::post(request->strand(), [this, request, cause] {
+        boost::asio::post(request->strand(), [this, request = request, cause] {
             if (contains(*request)) {
                 request->cancel(cause);
             }
--- a/Source/Settings/Endpoint.h
+++ b/Source/Settings/Endpoint.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 
 namespace Guavalock
 {
@@ -13,7 +13,13 @@
     std::string address;
     std::uint16_t port = 0;
 
-    auto operator<=>(const Endpoint &) const = default;
+    bool operator==(const Endpoint &) const = default;
+
+    /// Orders endpoints by address and port, for use as keys.
+    bool operator<(const Endpoint &other) const
+    {
+        return std::tie(address, port) < std::tie(other.address, other.port);
+    }
 
     /// Parses `ADDRESS:PORT`, where ADDRESS is an IPv4 address or an IPv6 address in brackets. Returns nothing if malformed.
     static std::optional<Endpoint> parse(const std::string &text);
--- a/Source/Site/SiteDaemon.cpp
+++ b/Source/Site/SiteDaemon.cpp
@@ -96,7 +96,8 @@
     , m_stopSchedule(std::make_unique<StopSchedule>())
     , m_responseMemory(std::make_unique<BufferBudget>())
     , m_relayContext(new RelayContext{m_clock, *m_catalogue, *m_fleet, *m_connections, *m_connectionShare, *m_retryBudget, *m_pieceRouter,
-                                      *m_stageTimes, *m_routeDurations, *m_unanswered, *m_stopSchedule, *m_responseMemory, m_site.relayCodec(), *m_metrics})
+                                      *m_stageTimes, *m_routeDurations, *m_unanswered, *m_stopSchedule, *m_responseMemory,
+                                      m_site.relayCodec(), *m_metrics})
     , m_frontEnd(std::make_unique<RelayFrontEnd>(*m_relayContext, m_pool->executor(), m_settings.callers))
     , m_readiness(std::make_unique<StatusServer>(m_pool->executor(), m_settings.readiness, [this](const std::string &path) {
         if (path != m_site.relayCodec().readinessPath()) {
