--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -187,8 +187,8 @@
     }
     Asio::steady_timer timer(m_strand, peerReplyTimeout);
     co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
-    co_return m_dependencies.mirror.progress(topic).confirmed
-        > m_dependencies.clock.now() - source.hops *readParametersOf(topic).maxPeerAge;
+    const Milliseconds maxAge = source.hops * readParametersOf(topic).maxPeerAge;
+    co_return m_dependencies.mirror.progress(topic).confirmed > m_dependencies.clock.now() - maxAge;
 }
 
 void FleetFollower::apply(Topic topic, const std::vector<KeyedRecord> &records)
