--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -13,6 +13,7 @@
 #include "Kernel/Distribution.h"
 #include "Kernel/Log.h"
 #include "Kernel/Metrics.h"
+#include "Relay/ClientPatience.h"
 #include "Relay/RelayAttempt.h"
 #include "Relay/ResponseSink.h"
 #include "Relay/RouteDurations.h"
@@ -41,12 +42,6 @@
 constexpr Milliseconds refusedRetryDelay{15}; ///< Delay before a retry after a target refused, to avoid flooding targets at capacity.
 constexpr Milliseconds shortRetryAfter{400}; ///< Retry-After when targets were lost; other targets have taken over by then.
 constexpr Milliseconds overloadRetryAfter{3'000}; ///< Retry-After on overload; bursts last a few seconds.
-constexpr Milliseconds minClientIdleTimeout{2'000}; ///< Clients disconnect from an idle stream after the longest of this time,
-constexpr int clientIdleObjectives = 4; ///< this multiple of the route's latency objective,
-constexpr int clientIdleGaps = 8; ///< and this multiple of its event gap objective.
-/// Fraction of the client's patience after which a stalled stream is resumed at another target. The rest is for that target.
-constexpr double stalledFraction = 0.75;
-constexpr Milliseconds stalledMargin{500}; ///< Added to the client's patience for a stream that cannot be resumed.
 /// Bytes between data centres whose transfer costs as much as reprocessing one prompt token.
 constexpr std::uint64_t bytesPerPromptToken = 2'800;
 constexpr int firstByteLatencies = 3; ///< Multiple of the target's typical latency after which it is presumed faulty.
@@ -162,7 +157,8 @@
         };
         if (m_progress.started) {
             // An interrupted stream must resume before its client disconnects; the latency objective no longer applies.
-            parameters.objectiveDeadline = std::min(m_deadline, m_context.clock.now() + clientIdleTimeout()) - responseMargin;
+            parameters.objectiveDeadline
+                = std::min(m_deadline, m_context.clock.now() + ClientPatience::idleTimeout(*m_route)) - responseMargin;
             parameters.deadline = parameters.objectiveDeadline;
             parameters.noOutputSent = false;
         }
@@ -176,18 +172,7 @@
     if (m_route->semantics != ExecutionSemantics::Stream) {
         return m_deadline - responseMargin;
     }
-    return std::min(m_deadline, m_request.receivedAt + clientIdleTimeout()) - responseMargin;
-}
-
-Milliseconds RelayJob::eventTimeout() const
-{
-    const Milliseconds patience = clientIdleTimeout();
-    return m_route->resumable ? std::chrono::duration_cast<Milliseconds>(patience * stalledFraction) : patience + stalledMargin;
-}
-
-Milliseconds RelayJob::clientIdleTimeout() const
-{
-    return std::max({minClientIdleTimeout, clientIdleObjectives * m_route->latencyObjective, clientIdleGaps * m_route->eventGapObjective});
+    return std::min(m_deadline, m_request.receivedAt + ClientPatience::idleTimeout(*m_route)) - responseMargin;
 }
 
 Asio::awaitable<bool> RelayJob::runStages()
@@ -311,10 +296,10 @@
     };
     const std::size_t maxIdleConnections
         = m_route->reusesConnections() ? m_context.connectionShare.perTarget(m_service->connectionLimit) : 0;
-    RelayAttempt attempt(
-        m_context,
-        {m_request, *m_route, *target, upstreamParameters(*target), maxIdleConnections, firstByteLimit, eventTimeout(), mayAbandon},
-        m_progress, m_sink, m_cancellation);
+    RelayAttempt attempt(m_context,
+                         {m_request, *m_route, *target, upstreamParameters(*target), maxIdleConnections, firstByteLimit,
+                          ClientPatience::eventTimeout(*m_route), mayAbandon},
+                         m_progress, m_sink, m_cancellation);
     attempt.onStreamStarted([this, &target] {
         m_context.unanswered.remove(m_cancellation);
         m_context.fleet.recordResponseStart(target->id, m_request.promptTokens);
--- a/Source/Relay/RelayJob.h
+++ b/Source/Relay/RelayJob.h
@@ -75,10 +75,6 @@
     UpstreamParameters upstreamParameters(const SelectedTarget &target) const;
     /// Returns the time by which the response must have started; after it, clients have disconnected.
     Clock::TimePoint firstEventDeadline() const;
-    /// Returns how long clients wait for the next event of an idle stream.
-    std::chrono::milliseconds clientIdleTimeout() const;
-    /// Returns the time without a complete event after which a stream counts as stalled.
-    std::chrono::milliseconds eventTimeout() const;
 
     std::chrono::milliseconds elapsedTime() const;
     std::chrono::milliseconds remainingTime() const;
