Send pieces to a linked substitute while their owner is not linked

Cause: a daemon that knew an owner but had no link to it batched its pieces itself. Ruled out: membership (a daemon that had started was linked to its hubs and partners after one second, and closed only the links to seeds 5 s later). Change: while the owner cannot be reached, its pieces go to the daemon that would be the owner among those that are linked, mostly a hub. Checked: anOwnerThatIsNotLinkedHasALargeSubstitute.

--- a/Source/Batching/PieceRouter.cpp
+++ b/Source/Batching/PieceRouter.cpp
@@ -33,10 +33,17 @@
     if (owner != self && m_transport.sendPieces(owner, pieces)) {
         return;
     }
+    // Few daemons stand in for an owner that is not linked. If each batched its own pieces, they would refuse each other the targets.
+    std::string substitute = m_membership.linkedOwner(pieces.front().service, m_clock.now());
+    if (substitute == owner || (substitute != self && !m_transport.sendPieces(substitute, pieces))) {
+        substitute = self;
+    }
     for (const Piece &it : pieces) {
-        pending->submissions()[it.number].owner = self;
+        pending->submissions()[it.number].owner = substitute;
+    }
+    if (substitute == self) {
+        m_local.submit(self, pieces);
     }
-    m_local.submit(self, pieces);
 }
 
 void PieceRouter::submit(const std::shared_ptr<PendingPieces> &pending, std::vector<Piece> pieces)
--- a/Source/Batching/PieceRouter.h
+++ b/Source/Batching/PieceRouter.h
@@ -45,7 +45,7 @@
     void freeAt(const std::string &owner, std::vector<std::string> handles);
 
 private:
-    /// Sends submitted pieces to their owner, or batches them locally, and names this daemon as their owner, if it cannot be reached.
+    /// Sends submitted pieces to their owner, or if it cannot be reached to a substitute that is linked, which may be this daemon.
     void send(const std::shared_ptr<PendingPieces> &pending, const std::string &owner, const std::vector<Piece> &pieces);
 
     const Clock &m_clock;
--- a/Source/Fleet/FleetMembership.cpp
+++ b/Source/Fleet/FleetMembership.cpp
@@ -193,6 +193,21 @@
     return findOwner(task, now);
 }
 
+std::string FleetMembership::linkedOwner(const std::string &task, Clock::TimePoint now) const
+{
+    const std::scoped_lock lock(m_mutex);
+    std::vector<const MemberRecord *> members;
+    for (const auto &[vm, member] : m_members) {
+        if (isResponsive(member, now) && !member.draining) {
+            members.push_back(&member.record);
+        }
+    }
+    if (members.empty() || !m_draining) {
+        members.push_back(&m_self);
+    }
+    return selectOwner(task, members).vm;
+}
+
 RecordSource FleetMembership::recordSource(const std::string &topic, Clock::TimePoint now) const
 {
     const std::scoped_lock lock(m_mutex);
--- a/Source/Fleet/FleetMembership.h
+++ b/Source/Fleet/FleetMembership.h
@@ -65,6 +65,10 @@
     /// among the daemons with the largest processor shares, so all daemons with the same view select the same owner.
     std::string owner(const std::string &task, Clock::TimePoint now) const;
 
+    /// Returns the daemon that performs a task for this one until its owner is linked: selected like the owner, among the daemons that are
+    /// linked and live, and this one.
+    std::string linkedOwner(const std::string &task, Clock::TimePoint now) const;
+
     /// Returns the daemon from which this one obtains the records of a topic. It is the topic's owner, or in large fleets a daemon of the
     /// same data centre, which in turn obtains them from the owner.
     RecordSource recordSource(const std::string &topic, Clock::TimePoint now) const;
--- a/Tests/Batching/StageRunTest.cpp
+++ b/Tests/Batching/StageRunTest.cpp
@@ -19,6 +19,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <optional>
+#include <set>
 
 namespace Guavalock
 {
@@ -34,6 +35,7 @@
     CPPUNIT_TEST(resultsOfACancelledRequestAreFreed);
     CPPUNIT_TEST(resultsAfterTheEndGoBackToTheirOwner);
     CPPUNIT_TEST(piecesOfAnUnreachableOwnerAreCancelledLocally);
+    CPPUNIT_TEST(anOwnerThatIsNotLinkedHasALargeSubstitute);
     CPPUNIT_TEST(callsThatWouldEndTooLateForTheNextAreNotMade);
     CPPUNIT_TEST_SUITE_END();
 
@@ -41,12 +43,13 @@
     class RecordingTransport : public PieceTransport
     {
     public:
-        bool sendPieces(const std::string &, const std::vector<Piece> &list) override
+        bool sendPieces(const std::string &vm, const std::vector<Piece> &list) override
         {
-            if (!connected) {
+            if (!connected || unlinked.contains(vm)) {
                 return false;
             }
             pieces.insert(pieces.end(), list.begin(), list.end());
+            lastReceiver = vm;
             return true;
         }
 
@@ -68,6 +71,8 @@
         }
 
         bool connected = true;
+        std::set<std::string> unlinked;
+        std::string lastReceiver;
         std::vector<Piece> pieces;
         std::vector<std::string> cancelled; ///< The daemons that requests to cancel were sent to.
         std::map<std::string, std::string> released; ///< The daemon that each release was sent to, by handle.
@@ -123,6 +128,18 @@
                     "north"};
         }
 
+        /// Returns a submission to the owner with one piece.
+        std::shared_ptr<PendingPieces> pendingPieces(std::uint64_t number)
+        {
+            auto pending = std::make_shared<PendingPieces>(cancellation, [](const std::string &, std::vector<std::string>) {});
+            Piece piece;
+            piece.number = number;
+            piece.requestId = "r3";
+            piece.service = "ledger";
+            pending->submissions()[number] = {piece, "owner", {}};
+            return pending;
+        }
+
         Asio::io_context context;
         SystemClock clock;
         FleetMembership membership;
@@ -214,6 +231,20 @@
         it.turn();
     }
 
+    /// The owner is known from a roster but not linked yet. A small daemon does not batch for itself while a large one is linked.
+    void anOwnerThatIsNotLinkedHasALargeSubstitute()
+    {
+        Setting it;
+        it.membership.updateMember(member("hub", 0.9));
+        it.membership.setLinked("hub", true);
+        it.membership.recordHeartbeat("hub", false, it.clock.now());
+        it.membership.setLinked("owner", false);
+        it.membership.recordRoster("hub", {{FleetMembership::idOf("owner")}, {}});
+        it.transport.unlinked = {"owner"};
+        it.router.resubmitLost(it.pendingPieces(1));
+        CPPUNIT_ASSERT_EQUAL(std::string("hub"), it.transport.lastReceiver);
+    }
+
     void piecesOfAnUnreachableOwnerAreCancelledLocally()
     {
         for (const bool connected : {false, true}) {
