Log how requests are admitted during a planned stop

The logs did not tell why a stopping daemon accepted a request. Each request that arrives during a stop now has a line stop-admission with the time since the stop began, the time left, the expected and the longest time of the request, and the verdict; stop_admissions_total counts them. The decision is unchanged.

--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -94,11 +94,7 @@
         return setRefusal(ResultCode::MalformedRequest, RunState::No,
                           "a stage has more than " + std::to_string(maxPiecesPerStage) + " pieces");
     }
-    const std::optional<Clock::TimePoint> stopEnd = m_context.stopSchedule.end();
-    const auto expected = m_context.routeDurations.upperBound(m_route->name);
-    if (stopEnd && !StopAdmission::accepts(m_route->timeout, expected, *stopEnd, m_request.receivedAt)) {
-        setRefusal(ResultCode::Draining, RunState::No, "the daemon is shutting down and may not complete the request in time");
-        m_refusal.retryAfter = StopSchedule::retryAfter;
+    if (!admitDuringStop()) {
         return false;
     }
     m_rank = m_organisation != nullptr && m_organisation->rank ? *m_organisation->rank : m_route->rank;
@@ -109,6 +105,34 @@
     return true;
 }
 
+bool RelayJob::admitDuringStop()
+{
+    const std::optional<StopPlan> stop = m_context.stopSchedule.plan();
+    if (!stop) {
+        return true;
+    }
+    const auto expected = m_context.routeDurations.upperBound(m_route->name);
+    const bool accepted = StopAdmission::accepts(m_route->timeout, expected, stop->end, m_request.receivedAt);
+    const auto text = [](Clock::Duration duration) {
+        return std::to_string(std::chrono::duration_cast<Milliseconds>(duration).count());
+    };
+    m_context.metrics.counter(accepted ? "stop_admissions_total{accepted=\"yes\"}" : "stop_admissions_total{accepted=\"no\"}").add();
+    Log::info("relay", "stop-admission",
+              {{"id", m_request.id},
+               {"accepted", accepted ? "yes" : "no"},
+               {"route", m_route->name},
+               {"since_stop_ms", text(m_request.receivedAt - stop->begin)},
+               {"left_ms", text(stop->end - m_request.receivedAt)},
+               {"expected_ms", expected ? text(*expected) : ""},
+               {"timeout_ms", text(m_route->timeout)}});
+    if (accepted) {
+        return true;
+    }
+    setRefusal(ResultCode::Draining, RunState::No, "the daemon is shutting down and may not complete the request in time");
+    m_refusal.retryAfter = StopSchedule::retryAfter;
+    return false;
+}
+
 Milliseconds RelayJob::elapsedTime() const
 {
     return std::chrono::duration_cast<Milliseconds>(m_context.clock.now() - m_request.receivedAt);
--- a/Source/Relay/RelayJob.h
+++ b/Source/Relay/RelayJob.h
@@ -48,6 +48,8 @@
 
     /// Selects route, organisation and service. Returns false after setting a refusal.
     bool admit();
+    /// Returns whether the request can be accepted although the daemon may be stopping. Sets a refusal if not.
+    bool admitDuringStop();
     /// Sets the refusal to send. Returns false, so that admit() can return its result.
     bool setRefusal(ResultCode code, RunState run, std::string reason);
     void startStages();
--- a/Source/Relay/StopSchedule.cpp
+++ b/Source/Relay/StopSchedule.cpp
@@ -3,15 +3,16 @@
 namespace Guavalock
 {
 
-void StopSchedule::begin(Clock::TimePoint end)
+void StopSchedule::begin(const StopPlan &plan)
 {
-    m_end = end;
+    const std::scoped_lock lock(m_mutex);
+    m_plan = plan;
 }
 
-std::optional<Clock::TimePoint> StopSchedule::end() const
+std::optional<StopPlan> StopSchedule::plan() const
 {
-    const Clock::TimePoint end = m_end;
-    return end == Clock::TimePoint::max() ? std::nullopt : std::optional<Clock::TimePoint>(end);
+    const std::scoped_lock lock(m_mutex);
+    return m_plan;
 }
 
 } // namespace Guavalock
--- a/Source/Relay/StopSchedule.h
+++ b/Source/Relay/StopSchedule.h
@@ -1,27 +1,28 @@
 #pragma once
 
-#include "Kernel/Clock.h"
+#include "Decisions/StopPlan.h"
+#include "Kernel/RankedMutex.h"
 
-#include <atomic>
+#include <chrono>
 #include <optional>
 
 namespace Guavalock
 {
 
-/// When this daemon ends, once a planned stop has begun. Thread-safe.
+/// The planned stop of this daemon, once it has begun. Lock rank: Budgets.
 class StopSchedule
 {
 public:
     static constexpr std::chrono::milliseconds retryAfter{50}; ///< Retry-After of requests refused for a stop. Other daemons serve at once.
 
-    /// Begins the stop. All responses have to be complete at `end`.
-    void begin(Clock::TimePoint end);
+    void begin(const StopPlan &plan);
 
-    /// Returns the time by which all responses have to be complete, or nothing while no stop is planned.
-    std::optional<Clock::TimePoint> end() const;
+    /// Returns the times of the stop, or nothing while no stop is planned.
+    std::optional<StopPlan> plan() const;
 
 private:
-    std::atomic<Clock::TimePoint> m_end{Clock::TimePoint::max()};
+    mutable RankedMutex m_mutex{LockRank::Budgets};
+    std::optional<StopPlan> m_plan;
 };
 
 } // namespace Guavalock
--- a/Source/Site/SiteDaemon.cpp
+++ b/Source/Site/SiteDaemon.cpp
@@ -274,7 +274,7 @@
 {
     const Clock::TimePoint begin = m_clock.now();
     const Clock::TimePoint end = begin + m_settings.gracePeriod - shutdownMargin;
-    m_stopSchedule->begin(end - finalRefusalTime);
+    m_stopSchedule->begin({begin, end - finalRefusalTime});
     m_draining = true;
     Log::info("daemon", "stopping", {{"requests", std::to_string(m_frontEnd->requestsInProgress())}});
     m_frontEnd->startDraining();
