--- a/Tests/Site/SiteFleet.cpp
+++ b/Tests/Site/SiteFleet.cpp
@@ -64,6 +64,11 @@
     m_pool.stop();
 }
 
+void SiteFleet::setGracePeriod(std::chrono::milliseconds gracePeriod)
+{
+    m_gracePeriod = gracePeriod;
+}
+
 SiteSettings SiteFleet::settings(std::size_t index) const
 {
     const std::uint16_t port = callerPort(index);
@@ -76,7 +81,7 @@
     settings.readiness = {FakeAddress::text(), static_cast<std::uint16_t>(port + 1)};
     settings.store = {FakeAddress::text(), storePort};
     settings.seeds = {{FakeAddress::text(), static_cast<std::uint16_t>(callerPort(0) + 2)}};
-    settings.gracePeriod = std::chrono::seconds(4);
+    settings.gracePeriod = m_gracePeriod;
     settings.retryLimits = {0.2, 52, std::chrono::seconds(10)};
     return settings;
 }
--- a/Tests/Site/SiteFleet.h
+++ b/Tests/Site/SiteFleet.h
@@ -42,6 +42,9 @@
     explicit SiteFleet(std::size_t daemonCount);
     ~SiteFleet();
 
+    /// Sets the grace period of daemons that are started afterwards.
+    void setGracePeriod(std::chrono::milliseconds gracePeriod);
+
     /// Publishes the configuration and target records, starts all servers and waits until every daemon is ready.
     void start();
 
@@ -82,6 +85,7 @@
     static Response exchange(std::uint16_t port, const Request &request);
 
     std::size_t m_daemonCount;
+    std::chrono::milliseconds m_gracePeriod{4'000};
     std::unique_ptr<Site> m_site;
     WorkerPool m_pool;
     std::unique_ptr<FakeRecordStore> m_store;
