Refuse late streams in a planned stop unless they are certain to end

Callers saw streams cut at the end of the grace period that a stopping daemon had accepted 3.1 s after SIGTERM, or had sent to a target when the time left was too short.

Cause: requests were admitted once, on the durations of past responses. The estimate did not know of targets that had just turned slow, of requests in progress that were older than it, or of the client's own deadline, and nothing took the promise back when a wait used up the time. Ruled out: the retry path (both recorded requests had one send) and the order of closing (requests are counted before the closed flag is read).

An estimate now counts only until the balancer has taken the daemon out (2.2 s); later requests need a deadline before the end. RouteDurations keeps runs apart from whole requests, and requests in progress raise its bound.

The tests of StopAdmission are rewritten for its new interface with the same cases and two more.

--- a/Source/Decisions/StopAdmission.cpp
+++ b/Source/Decisions/StopAdmission.cpp
@@ -1,13 +1,20 @@
 #include "Decisions/StopAdmission.h"
 
-#include <algorithm>
+#include "Decisions/StopPlan.h"
+#include "Decisions/StopVerdict.h"
 
 namespace Guavalock
 {
 
-bool StopAdmission::accepts(Clock::Duration timeout, std::optional<Clock::Duration> expected, Clock::TimePoint end, Clock::TimePoint now)
+StopVerdict StopAdmission::decide(const StopPlan &plan, const Request &request, Clock::TimePoint now)
 {
-    return now + std::min(timeout, expected.value_or(timeout)) <= end;
+    if (request.deadline <= plan.end) {
+        return StopVerdict::CertainToEnd;
+    }
+    if (request.receivedAt >= plan.routedUntil || !request.expected || now + *request.expected > plan.end) {
+        return StopVerdict::Refused;
+    }
+    return StopVerdict::ExpectedToEnd;
 }
 
 } // namespace Guavalock
--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -3,6 +3,7 @@
 #include "Batching/StageTimes.h"
 #include "Decisions/Hash.h"
 #include "Decisions/StopAdmission.h"
+#include "Decisions/StopVerdict.h"
 #include "Fleet/Catalogue.h"
 #include "Fleet/CatalogueTable.h"
 #include "Fleet/FleetRetryBudget.h"
@@ -16,7 +17,6 @@
 #include "Relay/ClientPatience.h"
 #include "Relay/RelayAttempt.h"
 #include "Relay/ResponseSink.h"
-#include "Relay/RouteDurations.h"
 #include "Relay/StopSchedule.h"
 #include "Relay/UnansweredRequests.h"
 
@@ -94,12 +94,12 @@
         return setRefusal(ResultCode::MalformedRequest, RunState::No,
                           "a stage has more than " + std::to_string(maxPiecesPerStage) + " pieces");
     }
+    const Milliseconds timeout = std::min(m_route->timeout, m_request.deadline.value_or(m_route->timeout));
+    m_deadline = m_request.receivedAt + timeout;
     if (!admitDuringStop()) {
         return false;
     }
     m_rank = m_organisation != nullptr && m_organisation->rank ? *m_organisation->rank : m_route->rank;
-    const Milliseconds timeout = std::min(m_route->timeout, m_request.deadline.value_or(m_route->timeout));
-    m_deadline = m_request.receivedAt + timeout;
     m_objectiveDeadline = m_request.receivedAt + m_route->latencyObjective;
     m_context.retryBudget.recordRequest(service, m_request.receivedAt);
     return true;
@@ -111,8 +111,9 @@
     if (!stop) {
         return true;
     }
-    const auto expected = m_context.routeDurations.upperBound(m_route->name);
-    const bool accepted = StopAdmission::accepts(m_route->timeout, expected, stop->end, m_request.receivedAt);
+    const Clock::TimePoint receivedAt = m_request.receivedAt;
+    const auto expected = m_context.routeDurations.upperBound(m_route->name, RouteDurations::Span::Request, receivedAt);
+    const bool accepted = StopAdmission::decide(*stop, {receivedAt, m_deadline, expected}, receivedAt) != StopVerdict::Refused;
     const auto text = [](Clock::Duration duration) {
         return std::to_string(std::chrono::duration_cast<Milliseconds>(duration).count());
     };
@@ -121,10 +122,10 @@
               {{"id", m_request.id},
                {"accepted", accepted ? "yes" : "no"},
                {"route", m_route->name},
-               {"since_stop_ms", text(m_request.receivedAt - stop->begin)},
-               {"left_ms", text(stop->end - m_request.receivedAt)},
+               {"since_stop_ms", text(receivedAt - stop->begin)},
+               {"left_ms", text(stop->end - receivedAt)},
                {"expected_ms", expected ? text(*expected) : ""},
-               {"timeout_ms", text(m_route->timeout)}});
+               {"timeout_ms", text(m_deadline - receivedAt)}});
     if (accepted) {
         return true;
     }
@@ -158,9 +159,11 @@
             cancelUnreachable();
         }
     });
+    m_timer.emplace(m_context.routeDurations, m_context.clock, m_route->name, RouteDurations::Span::Request, m_request.receivedAt);
     startStages();
     NextStep next = NextStep::Retry;
     while (next == NextStep::Retry) {
+        m_context.unanswered.setWaiting(m_cancellation, WaitingRequest{m_route->name, m_request.receivedAt, m_deadline});
         const bool ready = co_await runStages();
         if (!ready) {
             co_return;
@@ -308,8 +311,10 @@
         co_await refuse(ResultCode::NoTarget, reason);
         co_return NextStep::Done;
     }
+    m_context.unanswered.setWaiting(m_cancellation, std::nullopt);
     ++m_sends;
     m_attemptStart = m_context.clock.now();
+    RouteTimer timer(m_context.routeDurations, m_context.clock, m_route->name, RouteDurations::Span::Run, m_attemptStart);
     m_lastTarget = target->id;
     std::optional<Milliseconds> firstByteLimit;
     if (canRetryAfterTimeout(*target)) {
@@ -334,6 +339,11 @@
         m_stages.reset();
     });
     AttemptOutcome outcome = co_await attempt.run();
+    const bool complete = outcome.result == AttemptOutcome::Result::Responded || outcome.result == AttemptOutcome::Result::Streamed;
+    if (complete && outcome.head.isSuccess()) {
+        timer.setComplete();
+        m_timer->setComplete();
+    }
     m_context.fleet.recordResponseStart(target->id, m_request.promptTokens);
     m_context.fleet.recordAttempt(target->id, attempt.report(), m_service->coldStartTime, m_context.clock.now());
     // In the order of AttemptOutcome::Result.
@@ -506,9 +516,6 @@
         return time ? std::to_string(time->count()) : std::string();
     };
     m_context.metrics.distribution("request_seconds").observe(elapsed);
-    if (outcome == "answered") {
-        m_context.routeDurations.observe(m_route->name, elapsed);
-    }
     Log::info("relay", "request",
               {{"id", m_request.id},
                {"outcome", std::string(outcome)},
--- a/Source/Relay/RelayJob.h
+++ b/Source/Relay/RelayJob.h
@@ -7,6 +7,7 @@
 #include "Relay/AttemptOutcome.h"
 #include "Relay/OpaqueRequest.h"
 #include "Relay/RelayContext.h"
+#include "Relay/RouteTimer.h"
 #include "Relay/StreamProgress.h"
 #include "Relay/UpstreamParameters.h"
 
@@ -96,6 +97,7 @@
     Clock::TimePoint m_deadline;
     Clock::TimePoint m_objectiveDeadline; ///< Receipt of the request plus the route's latency objective.
     Clock::TimePoint m_attemptStart; ///< Start of the last attempt.
+    std::optional<RouteTimer> m_timer; ///< Since the receipt of the request.
     std::unique_ptr<StageRun> m_stages;
     StreamProgress m_progress;
     std::optional<std::chrono::milliseconds> m_stagesDuration; ///< From receipt of the request to completion of its stages.
--- a/Source/Site/SiteDaemon.cpp
+++ b/Source/Site/SiteDaemon.cpp
@@ -5,6 +5,8 @@
 #include "Batching/StageCodec.h"
 #include "Batching/StageTimes.h"
 #include "Decisions/Hash.h"
+#include "Decisions/StopAdmission.h"
+#include "Decisions/StopVerdict.h"
 #include "Fleet/Catalogue.h"
 #include "Fleet/CatalogueTable.h"
 #include "Fleet/FleetFollower.h"
@@ -46,8 +48,10 @@
 constexpr std::size_t workers = 1; ///< Machines of these fleets have at most one core.
 constexpr std::chrono::milliseconds memberUpdateInterval{500}; ///< Equal to the heartbeat interval, at which the member list can change.
 constexpr std::chrono::milliseconds shutdownPollInterval{50}; ///< Interval at which the remaining requests are polled during shutdown.
-/// Time that the load balancer needs to stop sending requests after the daemon reports that it is not ready.
-constexpr std::chrono::milliseconds loadBalancerDelay{3'200};
+/// Time in which two readiness checks, one second apart, take the daemon out of the load balancer.
+constexpr std::chrono::milliseconds routingDelay{2'200};
+/// Time that clients need to stop sending requests after the daemon reports that it is not ready.
+constexpr std::chrono::milliseconds closeDelay{3'200};
 constexpr std::chrono::milliseconds shutdownMargin{400}; ///< Reserved at the end of the grace period for stopping the remaining components.
 /// Reserved after the requests without a response have been cancelled, for sending their refusals.
 constexpr std::chrono::milliseconds finalRefusalTime{400};
@@ -270,11 +274,23 @@
     Log::info("daemon", "reloaded", {{"seeds", std::to_string(settings.seeds.size())}});
 }
 
+void SiteDaemon::refuseHopelessRequests(const StopPlan &plan)
+{
+    const Clock::TimePoint now = m_clock.now();
+    const auto isHopeless = [&](const WaitingRequest &it) {
+        const auto expected = m_routeDurations->upperBound(it.route, RouteDurations::Span::Run, now);
+        return expected && StopAdmission::decide(plan, {it.receivedAt, it.deadline, expected}, now) == StopVerdict::Refused;
+    };
+    m_unanswered->cancelWaiting(isHopeless, RefusalCause::StopTimeout);
+}
+
 bool SiteDaemon::stop()
 {
     const Clock::TimePoint begin = m_clock.now();
     const Clock::TimePoint end = begin + m_settings.gracePeriod - shutdownMargin;
-    m_stopSchedule->begin({begin, end - finalRefusalTime});
+    const Clock::Duration longestDelay = m_settings.gracePeriod / 2;
+    const StopPlan plan{begin, begin + std::min<Clock::Duration>(routingDelay, longestDelay), end - finalRefusalTime};
+    m_stopSchedule->begin(plan);
     m_draining = true;
     Log::info("daemon", "stopping", {{"requests", std::to_string(m_frontEnd->requestsInProgress())}});
     m_frontEnd->startDraining();
@@ -283,18 +299,21 @@
     m_batchDispatcher->handOver();
     boost::asio::io_context timers;
     Asio::steady_timer timer(timers);
-    timer.expires_after(std::min<Clock::Duration>(loadBalancerDelay, m_settings.gracePeriod / 2));
-    timer.wait();
-    m_frontEnd->close();
-    const auto waitForRequests = [&](Clock::TimePoint until) {
-        while (m_clock.now() < until && m_frontEnd->requestsInProgress() > 0) {
+    const auto waitUntil = [&](Clock::TimePoint until, const std::function<bool()> &done) {
+        while (m_clock.now() < until && !done()) {
+            refuseHopelessRequests(plan);
             timer.expires_after(shutdownPollInterval);
             timer.wait();
         }
     };
-    waitForRequests(end - finalRefusalTime);
+    const auto hasNoRequests = [this] {
+        return m_frontEnd->requestsInProgress() == 0;
+    };
+    waitUntil(begin + std::min<Clock::Duration>(closeDelay, longestDelay), [] { return false; });
+    m_frontEnd->close();
+    waitUntil(plan.end, hasNoRequests);
     m_unanswered->cancelAll(RefusalCause::StopTimeout);
-    waitForRequests(end);
+    waitUntil(end, hasNoRequests);
     const std::size_t left = m_frontEnd->requestsInProgress();
     m_follower->stop();
     m_batchDispatcher->stop();
--- a/Source/Site/SiteDaemon.h
+++ b/Source/Site/SiteDaemon.h
@@ -28,6 +28,7 @@
 class StageTimes;
 class StatusServer;
 class StopSchedule;
+struct StopPlan;
 class UnansweredRequests;
 class WorkerPool;
 
@@ -56,6 +57,8 @@
     void startFollower();
     boost::asio::awaitable<void> updateMembers();
     void detectSuspension();
+    /// Refuses the requests that wait and would outlast a planned stop if they began now.
+    void refuseHopelessRequests(const StopPlan &plan);
     /// Plans the links to other daemons: those of LinkPlan, the partners, and the seeds while no daemon is linked.
     void planLinks(Clock::TimePoint now);
     std::vector<Endpoint> seeds();
--- a/Tests/Decisions/StopAdmissionTest.cpp
+++ b/Tests/Decisions/StopAdmissionTest.cpp
@@ -1,5 +1,7 @@
 #include "Decisions/StopAdmission.h"
 #include "Decisions/DurationEstimate.h"
+#include "Decisions/StopPlan.h"
+#include "Decisions/StopVerdict.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -15,24 +17,47 @@
     CPPUNIT_TEST_SUITE(StopAdmissionTest);
     CPPUNIT_TEST(requestsThatTimeOutBeforeTheEndAreAccepted);
     CPPUNIT_TEST(longRequestsAreAcceptedOnlyWithAKnownDuration);
+    CPPUNIT_TEST(estimatesCountOnlyWhileRequestsAreRouted);
+    CPPUNIT_TEST(requestsThatWaitedTooLongAreRefused);
     CPPUNIT_TEST(upperBoundCoversAlmostAllDurations);
     CPPUNIT_TEST_SUITE_END();
 
-    const Clock::TimePoint m_end{seconds(100)};
+    const StopPlan m_plan{Clock::TimePoint(seconds(92)), Clock::TimePoint(seconds(94)), Clock::TimePoint(seconds(100))};
+
+    /// Decides on a request at its receipt.
+    StopVerdict decide(Clock::Duration timeout, std::optional<Clock::Duration> expected, Clock::TimePoint receivedAt) const
+    {
+        return StopAdmission::decide(m_plan, {receivedAt, receivedAt + timeout, expected}, receivedAt);
+    }
 
 public:
     void requestsThatTimeOutBeforeTheEndAreAccepted()
     {
-        CPPUNIT_ASSERT(StopAdmission::accepts(seconds(2), std::nullopt, m_end, m_end - seconds(2)));
-        CPPUNIT_ASSERT(StopAdmission::accepts(seconds(2), seconds(9), m_end, m_end - seconds(2)));
-        CPPUNIT_ASSERT(!StopAdmission::accepts(seconds(2), std::nullopt, m_end, m_end - milliseconds(1'999)));
+        CPPUNIT_ASSERT(decide(seconds(2), std::nullopt, m_plan.end - seconds(2)) == StopVerdict::CertainToEnd);
+        CPPUNIT_ASSERT(decide(seconds(2), seconds(9), m_plan.end - seconds(2)) == StopVerdict::CertainToEnd);
+        CPPUNIT_ASSERT(decide(seconds(2), std::nullopt, m_plan.end - milliseconds(1'999)) == StopVerdict::Refused);
     }
 
     void longRequestsAreAcceptedOnlyWithAKnownDuration()
     {
-        CPPUNIT_ASSERT(!StopAdmission::accepts(seconds(20), std::nullopt, m_end, m_end - seconds(7)));
-        CPPUNIT_ASSERT(StopAdmission::accepts(seconds(20), seconds(5), m_end, m_end - seconds(7)));
-        CPPUNIT_ASSERT(!StopAdmission::accepts(seconds(20), seconds(5), m_end, m_end - seconds(4)));
+        CPPUNIT_ASSERT(decide(seconds(20), std::nullopt, m_plan.begin) == StopVerdict::Refused);
+        CPPUNIT_ASSERT(decide(seconds(20), seconds(5), m_plan.begin) == StopVerdict::ExpectedToEnd);
+        CPPUNIT_ASSERT(decide(seconds(20), seconds(9), m_plan.begin) == StopVerdict::Refused);
+        CPPUNIT_ASSERT(decide(seconds(20), seconds(7), m_plan.begin + milliseconds(1'001)) == StopVerdict::Refused);
+    }
+
+    void estimatesCountOnlyWhileRequestsAreRouted()
+    {
+        CPPUNIT_ASSERT(decide(seconds(20), seconds(1), m_plan.routedUntil - milliseconds(1)) == StopVerdict::ExpectedToEnd);
+        CPPUNIT_ASSERT(decide(seconds(20), seconds(1), m_plan.routedUntil) == StopVerdict::Refused);
+        CPPUNIT_ASSERT(decide(seconds(1), seconds(1), m_plan.routedUntil) == StopVerdict::CertainToEnd);
+    }
+
+    void requestsThatWaitedTooLongAreRefused()
+    {
+        const StopAdmission::Request request{m_plan.begin, m_plan.begin + seconds(20), seconds(3)};
+        CPPUNIT_ASSERT(StopAdmission::decide(m_plan, request, m_plan.end - seconds(3)) == StopVerdict::ExpectedToEnd);
+        CPPUNIT_ASSERT(StopAdmission::decide(m_plan, request, m_plan.end - milliseconds(2'999)) == StopVerdict::Refused);
     }
 
     /// Durations between 1 and 3 s, as of streams of different lengths.
