--- a/Source/Relay/RelayJob.h
+++ b/Source/Relay/RelayJob.h
@@ -7,6 +7,7 @@
 #include "Relay/AttemptOutcome.h"
 #include "Relay/OpaqueRequest.h"
 #include "Relay/RelayContext.h"
+#include "Relay/RouteTimer.h"
 #include "Relay/StreamProgress.h"
 #include "Relay/UpstreamParameters.h"
 
@@ -48,6 +49,8 @@
 
     /// Selects route, organisation and service. Returns false after setting a refusal.
     bool admit();
+    /// Returns whether the request can be accepted although the daemon may be stopping. Sets a refusal if not.
+    bool admitDuringStop();
     /// Sets the refusal to send. Returns false, so that admit() can return its result.
     bool setRefusal(ResultCode code, RunState run, std::string reason);
     void startStages();
@@ -94,6 +97,7 @@
     Clock::TimePoint m_deadline;
     Clock::TimePoint m_objectiveDeadline; ///< Receipt of the request plus the route's latency objective.
     Clock::TimePoint m_attemptStart; ///< Start of the last attempt.
+    std::optional<RouteTimer> m_timer; ///< Since the receipt of the request.
     std::unique_ptr<StageRun> m_stages;
     StreamProgress m_progress;
     std::optional<std::chrono::milliseconds> m_stagesDuration; ///< From receipt of the request to completion of its stages.
