Log the content of requests whose responses were lost

The logs did not tell which parts the requests on a crashed target had, so that content which crashes targets could not be told from the other requests beside it. Each response that a target does not complete has a line response-lost with hashes of the shared prompt parts and of the whole request. No decision changes.

--- a/Source/Relay/OpaqueRequest.h
+++ b/Source/Relay/OpaqueRequest.h
@@ -22,6 +22,7 @@
     std::string body;
     std::string apiKey; ///< Identifies the organisation; empty if the header is absent.
     std::optional<std::chrono::milliseconds> deadline; ///< Relative to the time of receipt.
+    std::vector<std::uint64_t> sharedPromptParts; ///< Hashes of the prompt parts that other requests may share.
     std::uint64_t sharedPromptHash = 0; ///< Hash of the last prompt part that other requests may share; zero if there is none.
     std::size_t sharedPromptTokens = 0; ///< Token count of the prompt parts that other requests may share.
     std::size_t promptTokens = 0;
--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -99,12 +99,30 @@
     if (!admitDuringStop()) {
         return false;
     }
+    m_contents = m_request.sharedPromptParts;
+    const std::string organisation = m_organisation != nullptr ? m_organisation->name : std::string();
+    m_contents.push_back(Hash::of(m_request.body, Hash::of(organisation, Hash::of(m_request.requestTarget, Hash::of(m_request.method)))));
     m_rank = m_organisation != nullptr && m_organisation->rank ? *m_organisation->rank : m_route->rank;
     m_objectiveDeadline = m_request.receivedAt + m_route->latencyObjective;
     m_context.retryBudget.recordRequest(service, m_request.receivedAt);
     return true;
 }
 
+void RelayJob::logLoss(const std::string &target) const
+{
+    std::string contents;
+    for (const std::uint64_t it : m_contents) {
+        contents += (contents.empty() ? "" : ",") + Hash::hex(it);
+    }
+    const auto elapsed = std::chrono::duration_cast<Milliseconds>(m_context.clock.now() - m_attemptStart);
+    Log::info("relay", "response-lost",
+              {{"id", m_request.id},
+               {"target", target},
+               {"sent_before_ms", std::to_string(elapsed.count())},
+               {"begun", m_progress.started ? "yes" : "no"},
+               {"contents", std::move(contents)}});
+}
+
 bool RelayJob::admitDuringStop()
 {
     const std::optional<StopPlan> stop = m_context.stopSchedule.plan();
@@ -344,6 +362,9 @@
         timer.setComplete();
         m_timer->setComplete();
     }
+    if (outcome.result == AttemptOutcome::Result::NoResponse || outcome.result == AttemptOutcome::Result::StreamInterrupted) {
+        logLoss(target->id);
+    }
     m_context.fleet.recordResponseStart(target->id, m_request.promptTokens);
     m_context.fleet.recordAttempt(target->id, attempt.report(), m_service->coldStartTime, m_context.clock.now());
     // In the order of AttemptOutcome::Result.
--- a/Source/Relay/RelayJob.h
+++ b/Source/Relay/RelayJob.h
@@ -17,6 +17,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace Guavalock
 {
@@ -51,6 +52,8 @@
     bool admit();
     /// Returns whether the request can be accepted although the daemon may be stopping. Sets a refusal if not.
     bool admitDuringStop();
+    /// Logs a response that a target did not complete, with the hashes of the request's content.
+    void logLoss(const std::string &target) const;
     /// Sets the refusal to send. Returns false, so that admit() can return its result.
     bool setRefusal(ResultCode code, RunState run, std::string reason);
     void startStages();
@@ -93,6 +96,7 @@
     const RouteRecord *m_route = nullptr;
     const ServiceRecord *m_service = nullptr;
     const OrganisationRecord *m_organisation = nullptr;
+    std::vector<std::uint64_t> m_contents; ///< Hashes of the shared prompt parts and of the whole request.
     unsigned m_rank = 0;
     Clock::TimePoint m_deadline;
     Clock::TimePoint m_objectiveDeadline; ///< Receipt of the request plus the route's latency objective.
