--- a/Fakes/FakeFleetTarget.cpp
+++ b/Fakes/FakeFleetTarget.cpp
@@ -3,6 +3,8 @@
 #include "FakeAddress.h"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -29,6 +31,7 @@
 constexpr const char *signatureHeader = "X-Guavalock-Server-Signature";
 constexpr const char *expectInstanceHeader = "X-Guavalock-Expect-Instance";
 constexpr const char *notExecutedHeader = "X-Guavalock-Not-Executed";
+constexpr const char *promptPartsHeader = "X-Guavalock-Prefix-Hash";
 constexpr const char *lastEventIdHeader = "Last-Event-Id";
 constexpr const char *inputCountHeader = "X-Guavalock-Input-Count";
 constexpr int eventsPerStream = 5;
@@ -55,6 +58,50 @@
     m_remainingFaults = requests;
 }
 
+void FakeFleetTarget::crashOn(const std::string &promptPart, std::chrono::milliseconds downTime)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_crashingPart = promptPart;
+    m_downTime = downTime;
+}
+
+std::vector<std::chrono::steady_clock::time_point> FakeFleetTarget::partArrivals() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_partArrivals;
+}
+
+std::vector<std::chrono::steady_clock::time_point> FakeFleetTarget::crashes() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_crashes;
+}
+
+bool FakeFleetTarget::hasCrashingPart(const FakeServer::Request &request)
+{
+    const std::scoped_lock lock(m_mutex);
+    const std::string parts(request[promptPartsHeader]);
+    if (m_crashingPart.empty() || parts.find(m_crashingPart + ":") == std::string::npos) {
+        return false;
+    }
+    m_partArrivals.push_back(std::chrono::steady_clock::now());
+    return true;
+}
+
+Asio::awaitable<void> FakeFleetTarget::crash()
+{
+    std::chrono::milliseconds downTime{0};
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_crashes.push_back(std::chrono::steady_clock::now());
+        downTime = m_downTime;
+    }
+    m_server.closeAll();
+    Asio::steady_timer timer(m_server.strand(), downTime);
+    co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
+    m_server.listen();
+}
+
 void FakeFleetTarget::setServiceTime(std::chrono::milliseconds serviceTime)
 {
     const std::scoped_lock lock(m_mutex);
@@ -164,6 +211,14 @@
         releaseResults(request);
         co_return co_await FakeServer::send(socket, FakeServer::jsonResponse(200, "{}"));
     }
+    if (hasCrashingPart(request)) {
+        co_await simulateWork();
+        // A request that runs while another one crashes the target ends with it.
+        if (socket.is_open()) {
+            Asio::co_spawn(m_server.strand(), crash(), Asio::detached);
+        }
+        co_return false;
+    }
     const Fault fault = consumeFault();
     if (fault == Fault::Refuse) {
         FakeServer::Response refusal = FakeServer::jsonResponse(503, "{}");
--- a/Fakes/FakeFleetTarget.h
+++ b/Fakes/FakeFleetTarget.h
@@ -8,6 +8,7 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace Guavalock
 {
@@ -42,6 +43,16 @@
     /// Applies a fault to the given number of subsequent requests. Thread-safe.
     void setFault(Fault fault, std::size_t requests);
 
+    /// Crashes the target when it begins to respond to a request whose prompt contains a part. It is back after the given time.
+    /// Thread-safe.
+    void crashOn(const std::string &promptPart, std::chrono::milliseconds downTime);
+
+    /// Returns when requests with the part of crashOn() arrived.
+    std::vector<std::chrono::steady_clock::time_point> partArrivals() const;
+
+    /// Returns when the target crashed.
+    std::vector<std::chrono::steady_clock::time_point> crashes() const;
+
     /// Sets the service time of a request or batch. Thread-safe.
     void setServiceTime(std::chrono::milliseconds serviceTime);
 
@@ -78,6 +89,9 @@
     /// Sends a text again and again until the caller closes the connection.
     boost::asio::awaitable<bool> sendEndlessly(FakeServer::Socket &socket, std::string head, std::string repeated,
                                                std::chrono::milliseconds pause);
+    /// Returns whether the request has the part of crashOn(), and records its arrival.
+    bool hasCrashingPart(const FakeServer::Request &request);
+    boost::asio::awaitable<void> crash();
     boost::asio::awaitable<void> simulateWork();
     Fault consumeFault();
     FakeServer::Response signedResponse(const FakeServer::Request &request, unsigned status, std::string body) const;
@@ -92,6 +106,10 @@
     std::map<std::uint16_t, std::string> m_lastBatchResponses; ///< By the caller's port, which identifies a connection.
     std::map<std::string, std::string> m_resultOwners; ///< The request that each result was produced for, by handle.
     std::size_t m_foreignInputs = 0;
+    std::string m_crashingPart;
+    std::chrono::milliseconds m_downTime{0};
+    std::vector<std::chrono::steady_clock::time_point> m_partArrivals;
+    std::vector<std::chrono::steady_clock::time_point> m_crashes;
     Fault m_fault = Fault::None;
     std::size_t m_remainingFaults = 0;
     std::chrono::milliseconds m_serviceTime{2};
