Quarantine content of requests that crashes targets

With requests that share one part, under which each target crashes when it begins to answer, targets crashed one after the other: 12 to 17 on spr in 22 s, and 6 to 8 such requests were sent later than 3 s after the fifth crash. Callers whose requests ran beside them got 504 or a cut stream.

Cause: the relay path kept no record of what was on a target when it died, no daemon saw enough crashes alone, and nothing was shared.

A lost connection counts only if the target then refuses connections. Evidence is gathered for 50 ms, passed on by hubs and sent whole to daemons that have just been linked; nothing is decided within 0.4 s of a crash. Completed responses clear content. Quarantines end with a single trial by the daemons in turn.

--- /dev/null
+++ b/Source/Decisions/CrashReport.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "Kernel/Clock.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Guavalock
+{
+
+/// The content that one daemon had at a target when the target crashed, as far as its responses had not begun.
+struct CrashReport {
+    std::string target;
+    Clock::TimePoint at;
+    std::vector<std::uint64_t> contents; ///< Hashes, without duplicates.
+};
+
+} // namespace Guavalock
--- a/Source/Kernel/LockRank.h
+++ b/Source/Kernel/LockRank.h
@@ -9,6 +9,7 @@
 enum class LockRank : int {
     Registry = 10,
     Configuration = 20,
+    Quarantines = 25,
     Members = 30,
     Claims = 40,
     Organisations = 50,
--- a/Source/Kernel/ResultCode.cpp
+++ b/Source/Kernel/ResultCode.cpp
@@ -38,6 +38,8 @@
     ResultCodeInfo{ResultCode::KeyInUse, "KeyInUse", 409, "A request with this idempotency key is in progress."},
     ResultCodeInfo{ResultCode::NotConfigured, "NotConfigured", 503, "The daemon has no configuration yet."},
     ResultCodeInfo{ResultCode::KeyNotClaimed, "KeyNotClaimed", 503, "The idempotency key could not be claimed in the log."},
+    ResultCodeInfo{ResultCode::ContentQuarantined, "ContentQuarantined", 503,
+                   "Requests with this content crashed targets; they are refused for a time."},
 
     ResultCodeInfo{ResultCode::StageFailed, "StageFailed", 502, "A target answered that the stage failed."},
     ResultCodeInfo{ResultCode::DeadlineExceeded, "DeadlineExceeded", 504, "The deadline passed after part of the request had run."},
--- a/Source/Kernel/ResultCode.h
+++ b/Source/Kernel/ResultCode.h
@@ -34,6 +34,7 @@
     KeyInUse = 207,
     NotConfigured = 208,
     KeyNotClaimed = 209,
+    ContentQuarantined = 210,
 
     StageFailed = 301,
     DeadlineExceeded = 302,
--- a/Source/Mesh/Generated/Mesh_generated.h
+++ b/Source/Mesh/Generated/Mesh_generated.h
@@ -52,6 +52,18 @@
 struct Roster;
 struct RosterBuilder;
 
+struct Crash;
+struct CrashBuilder;
+
+struct ContentResponse;
+struct ContentResponseBuilder;
+
+struct Quarantine;
+struct QuarantineBuilder;
+
+struct Evidence;
+struct EvidenceBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
@@ -66,11 +78,12 @@
   RecordsRequest = 7,
   Records = 8,
   Roster = 9,
+  Evidence = 10,
   MIN = NONE,
-  MAX = Roster
+  MAX = Evidence
 };
 
-inline const Body (&EnumValuesBody())[10] {
+inline const Body (&EnumValuesBody())[11] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -81,13 +94,14 @@
     Body::Release,
     Body::RecordsRequest,
     Body::Records,
-    Body::Roster
+    Body::Roster,
+    Body::Evidence
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[11] = {
+  static const char * const names[12] = {
     "NONE",
     "Hello",
     "Beat",
@@ -98,13 +112,14 @@
     "RecordsRequest",
     "Records",
     "Roster",
+    "Evidence",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::Roster)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::Evidence)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -149,6 +164,10 @@
   static const Body enum_value = Body::Roster;
 };
 
+template<> struct BodyTraits<Guavalock::MeshWire::Evidence> {
+  static const Body enum_value = Body::Evidence;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -1175,6 +1194,311 @@
       relayed__);
 }
 
+struct Crash FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CrashBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TARGET = 4,
+    VT_AGE_US = 6,
+    VT_CONTENTS = 8
+  };
+  const flatbuffers::String *target() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET);
+  }
+  int64_t age_us() const {
+    return GetField<int64_t>(VT_AGE_US, 0);
+  }
+  const flatbuffers::Vector<uint64_t> *contents() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_CONTENTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TARGET) &&
+           verifier.VerifyString(target()) &&
+           VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
+           VerifyOffset(verifier, VT_CONTENTS) &&
+           verifier.VerifyVector(contents()) &&
+           verifier.EndTable();
+  }
+};
+
+struct CrashBuilder {
+  typedef Crash Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
+    fbb_.AddOffset(Crash::VT_TARGET, target);
+  }
+  void add_age_us(int64_t age_us) {
+    fbb_.AddElement<int64_t>(Crash::VT_AGE_US, age_us, 0);
+  }
+  void add_contents(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> contents) {
+    fbb_.AddOffset(Crash::VT_CONTENTS, contents);
+  }
+  explicit CrashBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Crash> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Crash>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Crash> CreateCrash(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> target = 0,
+    int64_t age_us = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> contents = 0) {
+  CrashBuilder builder_(_fbb);
+  builder_.add_age_us(age_us);
+  builder_.add_contents(contents);
+  builder_.add_target(target);
+  return builder_.Finish();
+}
+
+struct Crash::Traits {
+  using type = Crash;
+  static auto constexpr Create = CreateCrash;
+};
+
+inline flatbuffers::Offset<Crash> CreateCrashDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *target = nullptr,
+    int64_t age_us = 0,
+    const std::vector<uint64_t> *contents = nullptr) {
+  auto target__ = target ? _fbb.CreateString(target) : 0;
+  auto contents__ = contents ? _fbb.CreateVector<uint64_t>(*contents) : 0;
+  return Guavalock::MeshWire::CreateCrash(
+      _fbb,
+      target__,
+      age_us,
+      contents__);
+}
+
+struct ContentResponse FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ContentResponseBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CONTENT = 4,
+    VT_AGE_US = 6
+  };
+  uint64_t content() const {
+    return GetField<uint64_t>(VT_CONTENT, 0);
+  }
+  int64_t age_us() const {
+    return GetField<int64_t>(VT_AGE_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_CONTENT, 8) &&
+           VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct ContentResponseBuilder {
+  typedef ContentResponse Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_content(uint64_t content) {
+    fbb_.AddElement<uint64_t>(ContentResponse::VT_CONTENT, content, 0);
+  }
+  void add_age_us(int64_t age_us) {
+    fbb_.AddElement<int64_t>(ContentResponse::VT_AGE_US, age_us, 0);
+  }
+  explicit ContentResponseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ContentResponse> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ContentResponse>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ContentResponse> CreateContentResponse(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t content = 0,
+    int64_t age_us = 0) {
+  ContentResponseBuilder builder_(_fbb);
+  builder_.add_age_us(age_us);
+  builder_.add_content(content);
+  return builder_.Finish();
+}
+
+struct ContentResponse::Traits {
+  using type = ContentResponse;
+  static auto constexpr Create = CreateContentResponse;
+};
+
+struct Quarantine FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuarantineBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CONTENT = 4,
+    VT_AGE_US = 6,
+    VT_LEFT_US = 8,
+    VT_COUNT = 10
+  };
+  uint64_t content() const {
+    return GetField<uint64_t>(VT_CONTENT, 0);
+  }
+  int64_t age_us() const {
+    return GetField<int64_t>(VT_AGE_US, 0);
+  }
+  int64_t left_us() const {
+    return GetField<int64_t>(VT_LEFT_US, 0);
+  }
+  uint32_t count() const {
+    return GetField<uint32_t>(VT_COUNT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_CONTENT, 8) &&
+           VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
+           VerifyField<int64_t>(verifier, VT_LEFT_US, 8) &&
+           VerifyField<uint32_t>(verifier, VT_COUNT, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct QuarantineBuilder {
+  typedef Quarantine Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_content(uint64_t content) {
+    fbb_.AddElement<uint64_t>(Quarantine::VT_CONTENT, content, 0);
+  }
+  void add_age_us(int64_t age_us) {
+    fbb_.AddElement<int64_t>(Quarantine::VT_AGE_US, age_us, 0);
+  }
+  void add_left_us(int64_t left_us) {
+    fbb_.AddElement<int64_t>(Quarantine::VT_LEFT_US, left_us, 0);
+  }
+  void add_count(uint32_t count) {
+    fbb_.AddElement<uint32_t>(Quarantine::VT_COUNT, count, 0);
+  }
+  explicit QuarantineBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Quarantine> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Quarantine>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Quarantine> CreateQuarantine(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t content = 0,
+    int64_t age_us = 0,
+    int64_t left_us = 0,
+    uint32_t count = 0) {
+  QuarantineBuilder builder_(_fbb);
+  builder_.add_left_us(left_us);
+  builder_.add_age_us(age_us);
+  builder_.add_content(content);
+  builder_.add_count(count);
+  return builder_.Finish();
+}
+
+struct Quarantine::Traits {
+  using type = Quarantine;
+  static auto constexpr Create = CreateQuarantine;
+};
+
+struct Evidence FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EvidenceBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CRASHES = 4,
+    VT_RESPONSES = 6,
+    VT_QUARANTINES = 8
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<Guavalock::MeshWire::Crash>> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Guavalock::MeshWire::Crash>> *>(VT_CRASHES);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<Guavalock::MeshWire::ContentResponse>> *responses() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Guavalock::MeshWire::ContentResponse>> *>(VT_RESPONSES);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<Guavalock::MeshWire::Quarantine>> *quarantines() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Guavalock::MeshWire::Quarantine>> *>(VT_QUARANTINES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           verifier.VerifyVectorOfTables(crashes()) &&
+           VerifyOffset(verifier, VT_RESPONSES) &&
+           verifier.VerifyVector(responses()) &&
+           verifier.VerifyVectorOfTables(responses()) &&
+           VerifyOffset(verifier, VT_QUARANTINES) &&
+           verifier.VerifyVector(quarantines()) &&
+           verifier.VerifyVectorOfTables(quarantines()) &&
+           verifier.EndTable();
+  }
+};
+
+struct EvidenceBuilder {
+  typedef Evidence Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Guavalock::MeshWire::Crash>>> crashes) {
+    fbb_.AddOffset(Evidence::VT_CRASHES, crashes);
+  }
+  void add_responses(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Guavalock::MeshWire::ContentResponse>>> responses) {
+    fbb_.AddOffset(Evidence::VT_RESPONSES, responses);
+  }
+  void add_quarantines(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Guavalock::MeshWire::Quarantine>>> quarantines) {
+    fbb_.AddOffset(Evidence::VT_QUARANTINES, quarantines);
+  }
+  explicit EvidenceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Evidence> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Evidence>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Evidence> CreateEvidence(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Guavalock::MeshWire::Crash>>> crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Guavalock::MeshWire::ContentResponse>>> responses = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Guavalock::MeshWire::Quarantine>>> quarantines = 0) {
+  EvidenceBuilder builder_(_fbb);
+  builder_.add_quarantines(quarantines);
+  builder_.add_responses(responses);
+  builder_.add_crashes(crashes);
+  return builder_.Finish();
+}
+
+struct Evidence::Traits {
+  using type = Evidence;
+  static auto constexpr Create = CreateEvidence;
+};
+
+inline flatbuffers::Offset<Evidence> CreateEvidenceDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<Guavalock::MeshWire::Crash>> *crashes = nullptr,
+    const std::vector<flatbuffers::Offset<Guavalock::MeshWire::ContentResponse>> *responses = nullptr,
+    const std::vector<flatbuffers::Offset<Guavalock::MeshWire::Quarantine>> *quarantines = nullptr) {
+  auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<Guavalock::MeshWire::Crash>>(*crashes) : 0;
+  auto responses__ = responses ? _fbb.CreateVector<flatbuffers::Offset<Guavalock::MeshWire::ContentResponse>>(*responses) : 0;
+  auto quarantines__ = quarantines ? _fbb.CreateVector<flatbuffers::Offset<Guavalock::MeshWire::Quarantine>>(*quarantines) : 0;
+  return Guavalock::MeshWire::CreateEvidence(
+      _fbb,
+      crashes__,
+      responses__,
+      quarantines__);
+}
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   struct Traits;
@@ -1216,6 +1540,9 @@
   const Guavalock::MeshWire::Roster *body_as_Roster() const {
     return body_type() == Guavalock::MeshWire::Body::Roster ? static_cast<const Guavalock::MeshWire::Roster *>(body()) : nullptr;
   }
+  const Guavalock::MeshWire::Evidence *body_as_Evidence() const {
+    return body_type() == Guavalock::MeshWire::Body::Evidence ? static_cast<const Guavalock::MeshWire::Evidence *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -1261,6 +1588,10 @@
   return body_as_Roster();
 }
 
+template<> inline const Guavalock::MeshWire::Evidence *Frame::body_as<Guavalock::MeshWire::Evidence>() const {
+  return body_as_Evidence();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1338,6 +1669,10 @@
       auto ptr = reinterpret_cast<const Guavalock::MeshWire::Roster *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::Evidence: {
+      auto ptr = reinterpret_cast<const Guavalock::MeshWire::Evidence *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/Source/Mesh/MeshCodec.cpp
+++ b/Source/Mesh/MeshCodec.cpp
@@ -213,9 +213,38 @@
     return true;
 }
 
+bool decodeEvidence(const MeshWire::Frame &frame, Clock::TimePoint now, const MeshHandlers &handlers)
+{
+    const MeshWire::Evidence &wire = *frame.body_as_Evidence();
+    ContentEvidence evidence;
+    if (wire.crashes() != nullptr) {
+        for (const MeshWire::Crash *it : *wire.crashes()) {
+            CrashReport crash{text(it->target()), timeFromNow(-it->age_us(), now), {}};
+            if (it->contents() != nullptr) {
+                crash.contents.assign(it->contents()->begin(), it->contents()->end());
+            }
+            evidence.crashes.push_back(std::move(crash));
+        }
+    }
+    if (wire.responses() != nullptr) {
+        for (const MeshWire::ContentResponse *it : *wire.responses()) {
+            evidence.responses.push_back({it->content(), timeFromNow(-it->age_us(), now)});
+        }
+    }
+    if (wire.quarantines() != nullptr) {
+        for (const MeshWire::Quarantine *it : *wire.quarantines()) {
+            evidence.quarantines.push_back({it->content(), timeFromNow(-it->age_us(), now), timeFromNow(it->left_us(), now), it->count()});
+        }
+    }
+    if (handlers.evidence) {
+        handlers.evidence(std::move(evidence));
+    }
+    return true;
+}
+
 /// Indexed by the body type of the schema. Its first value denotes a frame without a body.
-constexpr std::array<Decoder, 10> decoders{nullptr,      decodeHello,   decodeHeartbeat,      decodePieces,  decodeResults,
-                                           decodeCancel, decodeRelease, decodeRecordsRequest, decodeRecords, decodeRoster};
+constexpr std::array<Decoder, 11> decoders{nullptr,       decodeHello,          decodeHeartbeat, decodePieces, decodeResults, decodeCancel,
+                                           decodeRelease, decodeRecordsRequest, decodeRecords,   decodeRoster, decodeEvidence};
 
 } // namespace
 
@@ -301,6 +330,26 @@
     return finish(builder, MeshWire::Body::Roster, body.Union());
 }
 
+MeshCodec::Bytes MeshCodec::evidence(const ContentEvidence &evidence, Clock::TimePoint now)
+{
+    Builder builder(firstBufferBytes);
+    std::vector<flatbuffers::Offset<MeshWire::Crash>> crashes;
+    for (const CrashReport &it : evidence.crashes) {
+        crashes.push_back(MeshWire::CreateCrashDirect(builder, it.target.c_str(), microsecondsTo(now, it.at), &it.contents));
+    }
+    std::vector<flatbuffers::Offset<MeshWire::ContentResponse>> responses;
+    for (const ContentEvidence::Response &it : evidence.responses) {
+        responses.push_back(MeshWire::CreateContentResponse(builder, it.content, microsecondsTo(now, it.at)));
+    }
+    std::vector<flatbuffers::Offset<MeshWire::Quarantine>> quarantines;
+    for (const ContentEvidence::Quarantine &it : evidence.quarantines) {
+        quarantines.push_back(
+            MeshWire::CreateQuarantine(builder, it.content, microsecondsTo(now, it.begin), microsecondsTo(it.end, now), it.count));
+    }
+    const auto body = MeshWire::CreateEvidenceDirect(builder, &crashes, &responses, &quarantines);
+    return finish(builder, MeshWire::Body::Evidence, body.Union());
+}
+
 bool MeshCodec::decode(const Bytes &frame, Clock::TimePoint now, const MeshHandlers &handlers)
 {
     flatbuffers::Verifier verifier(frame.data(), frame.size());
--- a/Source/Mesh/MeshNetwork.cpp
+++ b/Source/Mesh/MeshNetwork.cpp
@@ -163,6 +163,7 @@
     if (first) {
         m_membership.setLinked(vm, true);
         Log::info("mesh", "link-up", {{"peer", vm}});
+        m_callbacks.linked(vm);
     }
 }
 
@@ -217,6 +218,7 @@
         m_callbacks.recordsRequest(*vm, topic, from);
     };
     handlers.records = m_callbacks.records;
+    handlers.evidence = m_callbacks.evidence;
     return handlers;
 }
 
@@ -314,6 +316,20 @@
     return send(vm, MeshCodec::recordsRequest(topic, from));
 }
 
+void MeshNetwork::sendEvidence(const std::string &vm, const ContentEvidence &evidence)
+{
+    send(vm, MeshCodec::evidence(evidence, m_clock.now()));
+}
+
+void MeshNetwork::broadcastEvidence(const ContentEvidence &evidence)
+{
+    const MeshCodec::Bytes frame = MeshCodec::evidence(evidence, m_clock.now());
+    const std::scoped_lock lock(m_mutex);
+    for (auto &[vm, links] : m_links) {
+        selectLink(vm, links).channel->send(frame);
+    }
+}
+
 void MeshNetwork::sendRecords(const std::string &vm, const RecordUpdate &update)
 {
     send(vm, MeshCodec::records(update, m_clock.now()));
--- a/Source/Mesh/MeshNetwork.h
+++ b/Source/Mesh/MeshNetwork.h
@@ -35,6 +35,8 @@
         std::function<void(std::vector<std::string> handles)> release;
         std::function<void(const std::string &vm, Topic, std::uint64_t from)> recordsRequest;
         std::function<void(RecordUpdate)> records;
+        std::function<void(ContentEvidence)> evidence;
+        std::function<void(const std::string &vm)> linked; ///< A daemon has been linked.
     };
 
     MeshNetwork(boost::asio::any_io_executor executor, const Clock &clock, FleetMembership &membership);
@@ -65,6 +67,12 @@
 
     void sendRecords(const std::string &vm, const RecordUpdate &update);
 
+    /// Sends evidence to one daemon.
+    void sendEvidence(const std::string &vm, const ContentEvidence &evidence);
+
+    /// Sends evidence to all linked daemons.
+    void broadcastEvidence(const ContentEvidence &evidence);
+
 private:
     /// A connection to another daemon.
     struct Link {
--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -9,12 +9,14 @@
 #include "Fleet/FleetRetryBudget.h"
 #include "Fleet/FleetTable.h"
 #include "Fleet/IdleConnectionLimit.h"
+#include "Fleet/QuarantineTable.h"
 #include "Flow/DeadlineTimer.h"
 #include "Kernel/Counter.h"
 #include "Kernel/Distribution.h"
 #include "Kernel/Log.h"
 #include "Kernel/Metrics.h"
 #include "Relay/ClientPatience.h"
+#include "Relay/CrashDetector.h"
 #include "Relay/RelayAttempt.h"
 #include "Relay/ResponseSink.h"
 #include "Relay/StopSchedule.h"
@@ -47,6 +49,8 @@
 constexpr int firstByteLatencies = 3; ///< Multiple of the target's typical latency after which it is presumed faulty.
 constexpr unsigned maxSends = 8; ///< Limit on attempts that reach no target or are refused; beyond it the service is presumed overloaded.
 constexpr std::size_t maxPiecesPerStage = 1'000; ///< Limit per stage. Fills many batches, and bounds the memory one client can occupy.
+/// A target that crashes within this time after the first event has crashed when its response began.
+constexpr Milliseconds responseBeginTime{300};
 constexpr unsigned maxStageRestarts = 2; ///< Limit on reruns of the stages of one request.
 
 } // namespace
@@ -96,18 +100,50 @@
     }
     const Milliseconds timeout = std::min(m_route->timeout, m_request.deadline.value_or(m_route->timeout));
     m_deadline = m_request.receivedAt + timeout;
-    if (!admitDuringStop()) {
+    if (!admitDuringStop() || !admitContent()) {
         return false;
     }
-    m_contents = m_request.sharedPromptParts;
-    const std::string organisation = m_organisation != nullptr ? m_organisation->name : std::string();
-    m_contents.push_back(Hash::of(m_request.body, Hash::of(organisation, Hash::of(m_request.requestTarget, Hash::of(m_request.method)))));
     m_rank = m_organisation != nullptr && m_organisation->rank ? *m_organisation->rank : m_route->rank;
     m_objectiveDeadline = m_request.receivedAt + m_route->latencyObjective;
     m_context.retryBudget.recordRequest(service, m_request.receivedAt);
     return true;
 }
 
+bool RelayJob::admitContent()
+{
+    m_contents = m_request.sharedPromptParts;
+    const std::string organisation = m_organisation != nullptr ? m_organisation->name : std::string();
+    m_contents.push_back(Hash::of(m_request.body, Hash::of(organisation, Hash::of(m_request.requestTarget, Hash::of(m_request.method)))));
+    const std::optional<Clock::Duration> left = m_context.quarantines.refuseNew(m_contents, m_request.receivedAt);
+    if (left) {
+        setQuarantineRefusal(*left);
+    }
+    return !left;
+}
+
+void RelayJob::setQuarantineRefusal(Clock::Duration left)
+{
+    setRefusal(ResultCode::ContentQuarantined, RunState::No, "requests with this content crashed targets");
+    m_refusal.retryAfter = std::chrono::ceil<Milliseconds>(left);
+}
+
+void RelayJob::recordContent(const SelectedTarget &target, const AttemptOutcome &outcome)
+{
+    using Result = AttemptOutcome::Result;
+    if (outcome.result == Result::Responded || outcome.result == Result::Streamed) {
+        m_context.quarantines.recordResponse(m_contents, m_context.clock.now());
+        return;
+    }
+    if (outcome.result != Result::NoResponse && outcome.result != Result::StreamInterrupted) {
+        return;
+    }
+    logLoss(target.id);
+    const bool hasBegun = outcome.result == Result::StreamInterrupted && m_context.clock.now() - m_streamStart > responseBeginTime;
+    if (!hasBegun) {
+        m_context.crashes.reportLoss(target.id, target.address, m_contents);
+    }
+}
+
 void RelayJob::logLoss(const std::string &target) const
 {
     std::string contents;
@@ -318,6 +354,11 @@
 
 Asio::awaitable<RelayJob::NextStep> RelayJob::runAttempt()
 {
+    if (const auto left = m_context.quarantines.refuseSend(m_contents, m_context.clock.now())) {
+        m_refusal.retryAfter = std::chrono::ceil<Milliseconds>(*left);
+        co_await refuse(ResultCode::ContentQuarantined, "requests with this content crashed targets");
+        co_return NextStep::Done;
+    }
     const std::optional<SelectedTarget> target = co_await selectTarget();
     if (!target) {
         if (m_cancellation.cause()) {
@@ -351,6 +392,7 @@
         m_context.unanswered.remove(m_cancellation);
         m_context.fleet.recordResponseStart(target->id, m_request.promptTokens);
         const Clock::TimePoint now = m_context.clock.now();
+        m_streamStart = now;
         m_timeToFirstEvent = elapsedTime();
         m_context.metrics.distribution("first_event_seconds").observe(*m_timeToFirstEvent);
         m_context.stageTimes.observe(m_service->name, now - m_attemptStart, now);
@@ -362,9 +404,7 @@
         timer.setComplete();
         m_timer->setComplete();
     }
-    if (outcome.result == AttemptOutcome::Result::NoResponse || outcome.result == AttemptOutcome::Result::StreamInterrupted) {
-        logLoss(target->id);
-    }
+    recordContent(*target, outcome);
     m_context.fleet.recordResponseStart(target->id, m_request.promptTokens);
     m_context.fleet.recordAttempt(target->id, attempt.report(), m_service->coldStartTime, m_context.clock.now());
     // In the order of AttemptOutcome::Result.
--- /dev/null
+++ b/Source/Site/EvidenceExchange.cpp
@@ -0,0 +1,96 @@
+#include "Site/EvidenceExchange.h"
+
+#include "Fleet/FleetMembership.h"
+#include "Fleet/QuarantineTable.h"
+#include "Mesh/MeshNetwork.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace Guavalock
+{
+
+namespace Asio = boost::asio;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds gatherTime{50}; ///< Two hops through hubs stay far below a second.
+
+template <class List>
+void append(List &list, const List &added)
+{
+    list.insert(list.end(), added.begin(), added.end());
+}
+
+void append(ContentEvidence &evidence, const ContentEvidence &added)
+{
+    append(evidence.crashes, added.crashes);
+    append(evidence.responses, added.responses);
+    append(evidence.quarantines, added.quarantines);
+}
+
+} // namespace
+
+EvidenceExchange::EvidenceExchange(const Asio::any_io_executor &executor, const Clock &clock, QuarantineTable &quarantines,
+                                   FleetMembership &membership, MeshNetwork &mesh)
+    : m_strand(Asio::make_strand(executor))
+    , m_clock(clock)
+    , m_quarantines(quarantines)
+    , m_membership(membership)
+    , m_mesh(mesh)
+{
+}
+
+void EvidenceExchange::publish()
+{
+    schedule({});
+}
+
+void EvidenceExchange::receive(const ContentEvidence &evidence)
+{
+    const Clock::TimePoint now = m_clock.now();
+    ContentEvidence news = m_quarantines.merge(evidence, now);
+    const bool isHub = m_membership.roster(now) != nullptr;
+    schedule(isHub ? std::move(news) : ContentEvidence());
+}
+
+void EvidenceExchange::greet(const std::string &vm)
+{
+    const ContentEvidence evidence = m_quarantines.snapshot(m_clock.now());
+    if (!evidence.empty()) {
+        m_mesh.sendEvidence(vm, evidence);
+    }
+}
+
+void EvidenceExchange::schedule(ContentEvidence relayed)
+{
+    Asio::post(m_strand, [self = shared_from_this(), relayed = std::move(relayed)] {
+        append(self->m_relayed, relayed);
+        if (!std::exchange(self->m_scheduled, true)) {
+            Asio::co_spawn(self->m_strand, self->send(), Asio::detached);
+        }
+    });
+}
+
+Asio::awaitable<void> EvidenceExchange::send()
+{
+    const auto self = shared_from_this();
+    Asio::steady_timer timer(m_strand, gatherTime);
+    co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
+    m_scheduled = false;
+    ContentEvidence evidence = m_quarantines.takeNews();
+    append(evidence, std::exchange(m_relayed, {}));
+    if (!evidence.empty()) {
+        m_mesh.broadcastEvidence(evidence);
+    }
+}
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Site/EvidenceExchange.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "Decisions/ContentEvidence.h"
+#include "Kernel/Clock.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <string>
+
+namespace Guavalock
+{
+
+class FleetMembership;
+class MeshNetwork;
+class QuarantineTable;
+
+/// Exchanges the evidence of QuarantineTable with the other daemons. Hubs pass on what is new to them.
+///
+/// Evidence is gathered for a short time, because one crash is seen by many requests. Owned by a shared_ptr.
+class EvidenceExchange : public std::enable_shared_from_this<EvidenceExchange>
+{
+public:
+    EvidenceExchange(const boost::asio::any_io_executor &executor, const Clock &clock, QuarantineTable &quarantines,
+                     FleetMembership &membership, MeshNetwork &mesh);
+
+    /// Sends what this daemon has recorded and decided. Thread-safe.
+    void publish();
+
+    /// Merges the evidence of another daemon. Thread-safe.
+    void receive(const ContentEvidence &evidence);
+
+    /// Sends all evidence to a daemon that has just been linked. Thread-safe.
+    void greet(const std::string &vm);
+
+private:
+    void schedule(ContentEvidence relayed);
+    boost::asio::awaitable<void> send();
+
+    boost::asio::any_io_executor m_strand;
+    const Clock &m_clock;
+    QuarantineTable &m_quarantines;
+    FleetMembership &m_membership;
+    MeshNetwork &m_mesh;
+    ContentEvidence m_relayed; ///< Accessed only on the strand.
+    bool m_scheduled = false; ///< Accessed only on the strand.
+};
+
+} // namespace Guavalock
--- a/Source/Site/SiteDaemon.cpp
+++ b/Source/Site/SiteDaemon.cpp
@@ -13,17 +13,20 @@
 #include "Fleet/FleetMembership.h"
 #include "Fleet/FleetTable.h"
 #include "Fleet/IdleConnectionLimit.h"
+#include "Fleet/QuarantineTable.h"
 #include "Fleet/RecordCodec.h"
 #include "Fleet/RecordMirror.h"
 #include "Kernel/Log.h"
 #include "Kernel/Metrics.h"
 #include "Kernel/WorkerPool.h"
 #include "Relay/BufferBudget.h"
+#include "Relay/CrashDetector.h"
 #include "Relay/RelayCodec.h"
 #include "Relay/RelayFrontEnd.h"
 #include "Relay/RouteDurations.h"
 #include "Relay/StopSchedule.h"
 #include "Relay/UnansweredRequests.h"
+#include "Site/EvidenceExchange.h"
 #include "Site/Site.h"
 #include "Site/StatusServer.h"
 #include "Targets/ConnectionTable.h"
@@ -83,6 +86,15 @@
     , m_mirror(std::make_unique<RecordMirror>())
     , m_membership(std::make_unique<FleetMembership>(withIncarnation(m_settings.self)))
     , m_mesh(std::make_unique<MeshNetwork>(m_pool->executor(), m_clock, *m_membership))
+    , m_quarantines(std::make_unique<QuarantineTable>(
+          [this](std::uint64_t content, unsigned period) {
+              const std::string task = "content " + Hash::hex(content) + ' ' + std::to_string(period);
+              return m_membership->owner(task, m_clock.now()) == m_membership->self().vm;
+          },
+          *m_metrics))
+    , m_evidence(std::make_shared<EvidenceExchange>(m_pool->executor(), m_clock, *m_quarantines, *m_membership, *m_mesh))
+    , m_crashDetector(std::make_shared<CrashDetector>(
+          m_pool->executor(), m_clock, [this](const CrashReport &crash) { m_quarantines->recordCrash(crash, m_clock.now()); }))
     , m_batchDispatcher(std::make_unique<BatchDispatcher>(
           m_pool->executor(),
           BatchDispatcher::Dependencies{m_clock, *m_catalogue, *m_fleet, *m_retryBudget, m_site.stageCodec(), *m_metrics},
@@ -99,9 +111,9 @@
     , m_unanswered(std::make_unique<UnansweredRequests>())
     , m_stopSchedule(std::make_unique<StopSchedule>())
     , m_responseMemory(std::make_unique<BufferBudget>())
-    , m_relayContext(new RelayContext{m_clock, *m_catalogue, *m_fleet, *m_connections, *m_connectionShare, *m_retryBudget, *m_pieceRouter,
-                                      *m_stageTimes, *m_routeDurations, *m_unanswered, *m_stopSchedule, *m_responseMemory,
-                                      m_site.relayCodec(), *m_metrics})
+    , m_relayContext(new RelayContext{m_clock, *m_catalogue, *m_fleet, *m_connections, *m_connectionShare, *m_retryBudget, *m_quarantines,
+                                      *m_crashDetector, *m_pieceRouter, *m_stageTimes, *m_routeDurations, *m_unanswered, *m_stopSchedule,
+                                      *m_responseMemory, m_site.relayCodec(), *m_metrics})
     , m_frontEnd(std::make_unique<RelayFrontEnd>(*m_relayContext, m_pool->executor(), m_settings.callers))
     , m_readiness(std::make_unique<StatusServer>(m_pool->executor(), m_settings.readiness, [this](const std::string &path) {
         if (path != m_site.relayCodec().readinessPath()) {
@@ -189,6 +201,12 @@
     callbacks.records = [this](const RecordUpdate &update) {
         m_follower->applyFromPeer(update);
     };
+    callbacks.evidence = [this](const ContentEvidence &evidence) {
+        m_evidence->receive(evidence);
+    };
+    callbacks.linked = [this](const std::string &vm) {
+        m_evidence->greet(vm);
+    };
     return callbacks;
 }
 
@@ -220,6 +238,7 @@
     const MemberRecord &self = m_membership->self();
     Log::info("daemon", "starting", {{"incarnation", self.incarnation}, {"data_centre", self.dataCentre}});
     startFollower();
+    m_quarantines->onNews([this] { m_evidence->publish(); });
     m_mesh->start(meshCallbacks());
     m_follower->start(self);
     m_frontEnd->start();
--- a/Source/Site/SiteDaemon.h
+++ b/Source/Site/SiteDaemon.h
@@ -16,9 +16,12 @@
 {
 
 class BatchDispatcher;
+class CrashDetector;
+class EvidenceExchange;
 class IdleConnectionLimit;
 class FleetFollower;
 class PieceRouter;
+class QuarantineTable;
 class RecordMirror;
 class RelayFrontEnd;
 class FleetMembership;
@@ -81,6 +84,9 @@
     std::unique_ptr<RecordMirror> m_mirror;
     std::unique_ptr<FleetMembership> m_membership;
     std::unique_ptr<MeshNetwork> m_mesh;
+    std::unique_ptr<QuarantineTable> m_quarantines;
+    std::shared_ptr<EvidenceExchange> m_evidence;
+    std::shared_ptr<CrashDetector> m_crashDetector;
     std::unique_ptr<BatchDispatcher> m_batchDispatcher;
     std::unique_ptr<PieceRouter> m_pieceRouter;
     std::unique_ptr<StageTimes> m_stageTimes;
--- a/Tests/Mesh/MeshTest.cpp
+++ b/Tests/Mesh/MeshTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(resultsRoundTrip);
     CPPUNIT_TEST(deletedKeysRoundTrip);
     CPPUNIT_TEST(rostersRoundTrip);
+    CPPUNIT_TEST(evidenceRoundTrips);
     CPPUNIT_TEST(damagedFramesAreRejectedOrHarmless);
     CPPUNIT_TEST(allMembersSelectTheSameOwner);
     CPPUNIT_TEST(silentAndDrainingMembersAreNotOwners);
@@ -44,6 +45,15 @@
         return membership;
     }
 
+    ContentEvidence evidence() const
+    {
+        ContentEvidence evidence;
+        evidence.crashes.push_back({"t1", m_now - Milliseconds(200), {1, ~std::uint64_t{0}}});
+        evidence.responses.push_back({2, m_now - Milliseconds(100)});
+        evidence.quarantines.push_back({3, m_now - Milliseconds(10'000), m_now + Milliseconds(50'000), 2});
+        return evidence;
+    }
+
     Piece piece() const
     {
         Piece piece;
@@ -120,17 +130,36 @@
         CPPUNIT_ASSERT(received == sent);
     }
 
+    void evidenceRoundTrips()
+    {
+        ContentEvidence received;
+        MeshHandlers handlers;
+        handlers.evidence = [&](ContentEvidence evidence) {
+            received = std::move(evidence);
+        };
+        CPPUNIT_ASSERT(MeshCodec::decode(MeshCodec::evidence(evidence(), m_now), m_now + Milliseconds(5), handlers));
+        CPPUNIT_ASSERT_EQUAL(std::string("t1"), received.crashes.at(0).target);
+        CPPUNIT_ASSERT(received.crashes[0].at == m_now - Milliseconds(200) + Milliseconds(5));
+        CPPUNIT_ASSERT((received.crashes[0].contents == std::vector<std::uint64_t>{1, ~std::uint64_t{0}}));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), received.responses.at(0).content);
+        CPPUNIT_ASSERT(received.responses[0].at == m_now - Milliseconds(100) + Milliseconds(5));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), received.quarantines.at(0).content);
+        CPPUNIT_ASSERT(received.quarantines[0].end - received.quarantines[0].begin == Milliseconds(60'000));
+        CPPUNIT_ASSERT_EQUAL(2U, received.quarantines[0].count);
+    }
+
     /// Decodes frames with flipped bits and truncated frames. A decoder that trusts their lengths reads out of bounds.
     void damagedFramesAreRejectedOrHarmless()
     {
-        const MeshCodec::Bytes frame = MeshCodec::pieces({piece()}, m_now);
-        for (std::size_t it = 0; it < frame.size(); ++it) {
-            for (const std::uint8_t mask : {0x01, 0x80, 0xff}) {
-                MeshCodec::Bytes damaged = frame;
-                damaged[it] ^= mask;
-                MeshCodec::decode(damaged, m_now, {});
+        for (const MeshCodec::Bytes &frame : {MeshCodec::pieces({piece()}, m_now), MeshCodec::evidence(evidence(), m_now)}) {
+            for (std::size_t it = 0; it < frame.size(); ++it) {
+                for (const std::uint8_t mask : {0x01, 0x80, 0xff}) {
+                    MeshCodec::Bytes damaged = frame;
+                    damaged[it] ^= mask;
+                    MeshCodec::decode(damaged, m_now, {});
+                }
+                MeshCodec::decode(MeshCodec::Bytes(frame.begin(), frame.begin() + static_cast<std::ptrdiff_t>(it)), m_now, {});
             }
-            MeshCodec::decode(MeshCodec::Bytes(frame.begin(), frame.begin() + static_cast<std::ptrdiff_t>(it)), m_now, {});
         }
     }
 
