Let fake targets repeat refusals, answer with less than a whole response and end it with its connection

Change: FakeFleetTarget takes a sequence of faults for requests and batches and one for calls that free results. New faults send the last refusal or batch response of a connection again, refuse with or without an attempt id, fail all pieces of a batch, send a complete response in place of a stream, cut a response within its head, and send responses without a length or chunks. SiteFleet can leave targets without a record, reads counters, and returns bytes that are not part of the response. The test configuration has a route whose streams may be sent to three targets. The faults that the soak injects are unchanged.

--- a/Fakes/FakeFleetTarget.cpp
+++ b/Fakes/FakeFleetTarget.cpp
@@ -34,6 +34,37 @@
 constexpr int eventsPerStream = 5;
 constexpr std::size_t endlessBytes = 4'096; ///< Written at a time by endless responses.
 
+/// A complete response that a fault sends in place of the regular one.
+struct Replacement {
+    unsigned status;
+    const char *body;
+};
+
+const std::map<FakeFleetTarget::Fault, Replacement> &replacements()
+{
+    using Fault = FakeFleetTarget::Fault;
+    static const std::map<Fault, Replacement> table{{Fault::ErrorInstead, {500, "the engine failed\n\n"}},
+                                                    {Fault::RejectionInstead, {400, "the engine rejects this\n\n"}},
+                                                    {Fault::DocumentInstead, {200, "{\"document\":1}\n\n"}},
+                                                    {Fault::EmptyInstead, {200, ""}}};
+    return table;
+}
+
+/// Returns the port of a connection's peer, or 0 if the peer has disconnected.
+std::uint16_t peerPort(const FakeServer::Socket &socket)
+{
+    boost::system::error_code ec;
+    const auto peer = socket.remote_endpoint(ec);
+    return ec ? std::uint16_t(0) : peer.port();
+}
+
+std::string chunk(const std::string &data)
+{
+    std::ostringstream text;
+    text << std::hex << data.size() << "\r\n" << data << "\r\n";
+    return text.str();
+}
+
 } // namespace
 
 FakeFleetTarget::FakeFleetTarget(const Asio::any_io_executor &strand, std::uint16_t port, std::string id)
@@ -51,8 +82,25 @@
 void FakeFleetTarget::setFault(Fault fault, std::size_t requests)
 {
     const std::scoped_lock lock(m_mutex);
-    m_fault = fault;
-    m_remainingFaults = requests;
+    m_faults.assign(requests, fault);
+}
+
+void FakeFleetTarget::setFaults(std::vector<Fault> faults)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_faults.assign(faults.begin(), faults.end());
+}
+
+void FakeFleetTarget::setFreeFaults(std::vector<Fault> faults)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_freeFaults.assign(faults.begin(), faults.end());
+}
+
+void FakeFleetTarget::setHeadLength(std::size_t bytes)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_headLength = bytes;
 }
 
 void FakeFleetTarget::setServiceTime(std::chrono::milliseconds serviceTime)
@@ -115,14 +163,15 @@
     return m_lastHeaders;
 }
 
-FakeFleetTarget::Fault FakeFleetTarget::consumeFault()
+FakeFleetTarget::Fault FakeFleetTarget::consumeFault(std::deque<Fault> &faults)
 {
     const std::scoped_lock lock(m_mutex);
-    if (m_remainingFaults == 0) {
+    if (faults.empty()) {
         return Fault::None;
     }
-    --m_remainingFaults;
-    return m_fault;
+    const Fault fault = faults.front();
+    faults.pop_front();
+    return fault;
 }
 
 Asio::awaitable<void> FakeFleetTarget::simulateWork()
@@ -161,14 +210,14 @@
         co_return co_await handleBatch(socket, request);
     }
     if (request.target() == "/stage-free") {
-        releaseResults(request);
-        co_return co_await FakeServer::send(socket, FakeServer::jsonResponse(200, "{}"));
+        co_return co_await handleFree(socket, request);
     }
-    const Fault fault = consumeFault();
-    if (fault == Fault::Refuse) {
-        FakeServer::Response refusal = FakeServer::jsonResponse(503, "{}");
-        refusal.set(notExecutedHeader, "1");
-        co_return co_await FakeServer::send(socket, std::move(refusal));
+    const Fault fault = consumeFault(m_faults);
+    if (fault == Fault::Refuse || fault == Fault::RefuseById) {
+        co_return co_await refuse(socket, request, fault);
+    }
+    if (fault == Fault::RepeatAtOnce) {
+        co_await repeatLastResponse(socket);
     }
     {
         const std::scoped_lock lock(m_mutex);
@@ -178,12 +227,111 @@
         const std::string line = "X-Long: " + std::string(endlessBytes, 'x') + "\r\n";
         co_return co_await sendEndlessly(socket, "HTTP/1.1 200 OK\r\n" + line, line, {});
     }
+    if (replacements().contains(fault)) {
+        co_return co_await sendInstead(socket, request, fault);
+    }
+    if (fault == Fault::CutHead) {
+        co_return co_await sendTruncatedHead(socket, request);
+    }
+    if (fault >= Fault::UntilClose && fault <= Fault::UntilCloseReset) {
+        co_return co_await sendUntilClose(socket, request, fault);
+    }
     if (request.target().find("stream") != std::string::npos) {
         co_return co_await sendStream(socket, request, fault);
     }
     co_return co_await sendResponse(socket, request, fault);
 }
 
+Asio::awaitable<bool> FakeFleetTarget::refuse(FakeServer::Socket &socket, const FakeServer::Request &request, Fault fault)
+{
+    FakeServer::Response refusal = FakeServer::jsonResponse(503, "{}");
+    refusal.set(notExecutedHeader, "1");
+    if (fault == Fault::RefuseById) {
+        refusal.set(attemptIdHeader, request[attemptIdHeader]);
+    }
+    m_lastResponses[peerPort(socket)] = refusal;
+    co_return co_await FakeServer::send(socket, std::move(refusal));
+}
+
+Asio::awaitable<void> FakeFleetTarget::repeatLastResponse(FakeServer::Socket &socket)
+{
+    const auto it = m_lastResponses.find(peerPort(socket));
+    if (it != m_lastResponses.end()) {
+        co_await FakeServer::send(socket, it->second);
+    }
+}
+
+Asio::awaitable<bool> FakeFleetTarget::sendInstead(FakeServer::Socket &socket, const FakeServer::Request &request, Fault fault)
+{
+    co_await simulateWork();
+    const Replacement &replacement = replacements().at(fault);
+    co_return co_await FakeServer::send(socket, signedResponse(request, replacement.status, replacement.body));
+}
+
+std::string FakeFleetTarget::responseHead(const FakeServer::Request &request, const std::string &framing) const
+{
+    return "HTTP/1.1 200 OK\r\n" + framing + std::string(attemptIdHeader) + ": " + std::string(request[attemptIdHeader]) + "\r\n"
+        + signatureHeader + ": " + m_id + "\r\n\r\n";
+}
+
+std::string FakeFleetTarget::eventText(const FakeServer::Request &request, int number) const
+{
+    return "id: " + std::to_string(number) + "\ndata: " + std::string(request[attemptIdHeader]) + " "
+        + std::string(request[inputCountHeader]) + "\n\n";
+}
+
+Asio::awaitable<bool> FakeFleetTarget::sendTruncatedHead(FakeServer::Socket &socket, const FakeServer::Request &request)
+{
+    std::string head = responseHead(request, "Content-Length: 12\r\n");
+    {
+        const std::scoped_lock lock(m_mutex);
+        head.resize(std::min(m_headLength, head.size() - 1));
+    }
+    co_await Asio::async_write(socket, Asio::buffer(head), Asio::as_tuple(Asio::use_awaitable));
+    co_return false;
+}
+
+Asio::awaitable<bool> FakeFleetTarget::sendUntilClose(FakeServer::Socket &socket, const FakeServer::Request &request, Fault fault)
+{
+    const bool isStream = request.target().find("stream") != std::string::npos;
+    std::string body = std::string(request[attemptIdHeader]) + ":" + request.body();
+    if (isStream) {
+        body.clear();
+        const auto lastEventId = request[lastEventIdHeader];
+        for (int it = lastEventId.empty() ? 1 : std::stoi(std::string(lastEventId)) + 1; it <= eventsPerStream; ++it) {
+            body += eventText(request, it);
+        }
+    }
+    if (fault == Fault::UntilCloseEmpty) {
+        body.clear();
+    }
+    if (fault == Fault::UntilClosePartial || fault == Fault::UntilCloseReset) {
+        body.resize(body.size() / 2);
+    }
+    const std::string text = responseHead(request, isStream ? "Content-Type: text/event-stream\r\n" : "") + body;
+    co_await Asio::async_write(socket, Asio::buffer(text), Asio::as_tuple(Asio::use_awaitable));
+    if (fault == Fault::UntilCloseReset) {
+        // Lets the caller read what was sent, which a reset would discard.
+        co_await simulateWork();
+        boost::system::error_code ignored;
+        socket.set_option(Asio::socket_base::linger(true, 0), ignored);
+    }
+    co_return false;
+}
+
+Asio::awaitable<bool> FakeFleetTarget::handleFree(FakeServer::Socket &socket, const FakeServer::Request &request)
+{
+    const Fault fault = consumeFault(m_freeFaults);
+    if (fault == Fault::Refuse) {
+        co_return co_await refuse(socket, request, fault);
+    }
+    if (fault == Fault::RepeatAtOnce) {
+        co_await repeatLastResponse(socket);
+    }
+    releaseResults(request);
+    co_return co_await FakeServer::send(socket, FakeServer::jsonResponse(200, "{}"));
+}
+
 void FakeFleetTarget::releaseResults(const FakeServer::Request &request)
 {
     const Json::value body = Json::parse(request.body());
@@ -218,8 +366,7 @@
     case Fault::Error:
         co_return co_await FakeServer::send(socket, signedResponse(request, 500, body));
     case Fault::Cut: {
-        const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n" + std::string(attemptIdHeader) + ": "
-            + std::string(request[attemptIdHeader]) + "\r\n" + signatureHeader + ": s\r\n\r\nhalf";
+        const std::string text = responseHead(request, "Content-Length: 100\r\n") + "half";
         co_await Asio::async_write(socket, Asio::buffer(text), Asio::as_tuple(Asio::use_awaitable));
         co_return false;
     }
@@ -234,10 +381,13 @@
         response.set(notExecutedHeader, "1");
         co_return co_await FakeServer::send(socket, std::move(response));
     }
+    case Fault::AnonymousRefusal: {
+        FakeServer::Response response = FakeServer::jsonResponse(503, "{}");
+        response.set(notExecutedHeader, "1");
+        co_return co_await FakeServer::send(socket, std::move(response));
+    }
     case Fault::Endless: {
-        const std::string head = "HTTP/1.1 200 OK\r\n" + std::string(attemptIdHeader) + ": " + std::string(request[attemptIdHeader])
-            + "\r\n" + signatureHeader + ": s\r\n\r\n";
-        co_return co_await sendEndlessly(socket, head, std::string(endlessBytes, 'x'), {});
+        co_return co_await sendEndlessly(socket, responseHead(request, ""), std::string(endlessBytes, 'x'), {});
     }
     case Fault::Foreign: {
         FakeServer::Response response = signedResponse(request, 200, "foreign");
@@ -251,26 +401,21 @@
 
 Asio::awaitable<bool> FakeFleetTarget::sendStream(FakeServer::Socket &socket, const FakeServer::Request &request, Fault fault)
 {
-    const std::string id(request[attemptIdHeader]);
-    std::string text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" + std::string(attemptIdHeader)
-        + ": " + id + "\r\n" + signatureHeader + ": " + m_id + "\r\n\r\n";
+    std::string text = responseHead(request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
     const auto lastEventId = request[lastEventIdHeader];
     const int first = lastEventId.empty() ? 1 : std::stoi(std::string(lastEventId)) + 1;
     for (int it = first; it <= eventsPerStream; ++it) {
         co_await simulateWork();
         if (it == 2 && fault == Fault::Stall) {
-            co_return co_await sendEndlessly(socket, "3\r\n:\n\n\r\n", "3\r\n:\n\n\r\n", std::chrono::milliseconds(50));
+            co_return co_await sendEndlessly(socket, chunk(":\n\n"), chunk(":\n\n"), std::chrono::milliseconds(50));
         }
         if (it == 2 && fault == Fault::Endless) {
-            const std::string chunk = "1000\r\n" + std::string(0x1000, 'x') + "\r\n";
-            co_return co_await sendEndlessly(socket, chunk, chunk, {});
+            const std::string data = chunk(std::string(endlessBytes, 'x'));
+            co_return co_await sendEndlessly(socket, data, data, {});
         }
-        const std::string event = "id: " + std::to_string(it) + "\ndata: " + id + " " + std::string(request[inputCountHeader]) + "\n\n";
+        const std::string event = eventText(request, it);
         const bool truncated = (fault == Fault::Cut || fault == Fault::PartialEnd) && it == 3;
-        const std::string sent = truncated ? event.substr(0, event.size() / 2) : event;
-        std::ostringstream size;
-        size << std::hex << sent.size();
-        text += size.str() + "\r\n" + sent + "\r\n";
+        text += chunk(truncated ? event.substr(0, event.size() / 2) : event);
         const auto [ec, n] = co_await Asio::async_write(socket, Asio::buffer(text), Asio::as_tuple(Asio::use_awaitable));
         if (ec || (truncated && fault == Fault::Cut)) {
             co_return false;
@@ -286,11 +431,12 @@
 
 Asio::awaitable<bool> FakeFleetTarget::handleBatch(FakeServer::Socket &socket, const FakeServer::Request &request)
 {
-    const Fault fault = consumeFault();
+    const Fault fault = consumeFault(m_faults);
     if (fault == Fault::Refuse) {
-        FakeServer::Response refusal = FakeServer::jsonResponse(503, "{}");
-        refusal.set(notExecutedHeader, "1");
-        co_return co_await FakeServer::send(socket, std::move(refusal));
+        co_return co_await refuse(socket, request, fault);
+    }
+    if (fault == Fault::RepeatAtOnce) {
+        co_await repeatLastResponse(socket);
     }
     const Json::value body = Json::parse(request.body());
     const Json::array &entries = body.at("entries").as_array();
@@ -301,6 +447,10 @@
         ++m_batchCount;
         m_maxBatchSize = std::max(m_maxBatchSize, entries.size());
         for (std::size_t it = 0; it < entries.size(); ++it) {
+            if (fault == Fault::FailPieces) {
+                resultEntries.push_back(Json::object{{"reason", "error"}});
+                continue;
+            }
             const std::string handle = FakeAddress::text() + ":" + std::to_string(m_port) + "/" + std::to_string(++m_lastResultNumber);
             m_storedResults.insert(handle);
             const std::string owner(entries[it].at("id").as_string());
@@ -318,12 +468,12 @@
     }
     Json::object reply;
     reply["entries"] = std::move(resultEntries);
-    std::string &last = m_lastBatchResponses[socket.remote_endpoint().port()];
-    const std::string previous = std::exchange(last, Json::serialize(reply));
-    if (fault == Fault::Repeat && !previous.empty()) {
-        co_await FakeServer::send(socket, FakeServer::jsonResponse(200, previous));
+    if (fault == Fault::Repeat) {
+        co_await repeatLastResponse(socket);
     }
-    co_return co_await FakeServer::send(socket, FakeServer::jsonResponse(200, Json::serialize(reply)));
+    const FakeServer::Response response = FakeServer::jsonResponse(200, Json::serialize(reply));
+    m_lastResponses[peerPort(socket)] = response;
+    co_return co_await FakeServer::send(socket, response);
 }
 
 } // namespace Guavalock
--- a/Fakes/FakeFleetTarget.h
+++ b/Fakes/FakeFleetTarget.h
@@ -4,10 +4,12 @@
 
 #include <atomic>
 #include <chrono>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace Guavalock
 {
@@ -33,6 +35,19 @@
         PartialEnd, ///< Ends a stream correctly after half an event.
         EndlessHead, ///< Sends headers without end.
         Repeat, ///< When the next batch has arrived on a connection, sends the previous response again before its own.
+        RepeatAtOnce, ///< On arrival, sends the last refusal or batch response of the connection again; then processes the request.
+        RefuseById, ///< Responds with the request's attempt id that the request was not executed.
+        AnonymousRefusal, ///< Executes the request and responds without an attempt id that a request was not executed.
+        FailPieces, ///< Responds to a batch that all its pieces failed.
+        ErrorInstead, ///< Executes the request; responds with an internal error, also instead of a stream.
+        RejectionInstead, ///< As above, with a client error.
+        DocumentInstead, ///< As above, with a complete document that is no stream.
+        EmptyInstead, ///< As above, with an empty response.
+        CutHead, ///< Closes the connection within the head of the response, after the length given by setHeadLength().
+        UntilClose, ///< Sends a response without a length or chunks, which ends with its connection.
+        UntilCloseEmpty, ///< As above, but closes the connection after the head.
+        UntilClosePartial, ///< As above, but closes the connection in the middle of the body, within an event.
+        UntilCloseReset, ///< As above, but resets the connection there.
     };
 
     FakeFleetTarget(const boost::asio::any_io_executor &strand, std::uint16_t port, std::string id);
@@ -42,6 +57,15 @@
     /// Applies a fault to the given number of subsequent requests. Thread-safe.
     void setFault(Fault fault, std::size_t requests);
 
+    /// Applies each fault to one of the subsequent requests, in order. Thread-safe.
+    void setFaults(std::vector<Fault> faults);
+
+    /// As above, for calls that free results.
+    void setFreeFaults(std::vector<Fault> faults);
+
+    /// Sets the number of bytes after which Fault::CutHead cuts a response. Thread-safe.
+    void setHeadLength(std::size_t bytes);
+
     /// Sets the service time of a request or batch. Thread-safe.
     void setServiceTime(std::chrono::milliseconds serviceTime);
 
@@ -72,14 +96,24 @@
 private:
     boost::asio::awaitable<bool> handle(FakeServer::Socket &socket, FakeServer::Request request);
     boost::asio::awaitable<bool> handleBatch(FakeServer::Socket &socket, const FakeServer::Request &request);
+    boost::asio::awaitable<bool> handleFree(FakeServer::Socket &socket, const FakeServer::Request &request);
     void releaseResults(const FakeServer::Request &request);
+    boost::asio::awaitable<bool> refuse(FakeServer::Socket &socket, const FakeServer::Request &request, Fault fault);
+    boost::asio::awaitable<void> repeatLastResponse(FakeServer::Socket &socket);
+    /// Sends a complete response instead of a stream or a regular response.
+    boost::asio::awaitable<bool> sendInstead(FakeServer::Socket &socket, const FakeServer::Request &request, Fault fault);
+    boost::asio::awaitable<bool> sendTruncatedHead(FakeServer::Socket &socket, const FakeServer::Request &request);
+    boost::asio::awaitable<bool> sendUntilClose(FakeServer::Socket &socket, const FakeServer::Request &request, Fault fault);
     boost::asio::awaitable<bool> sendResponse(FakeServer::Socket &socket, const FakeServer::Request &request, Fault fault);
     boost::asio::awaitable<bool> sendStream(FakeServer::Socket &socket, const FakeServer::Request &request, Fault fault);
     /// Sends a text again and again until the caller closes the connection.
     boost::asio::awaitable<bool> sendEndlessly(FakeServer::Socket &socket, std::string head, std::string repeated,
                                                std::chrono::milliseconds pause);
     boost::asio::awaitable<void> simulateWork();
-    Fault consumeFault();
+    Fault consumeFault(std::deque<Fault> &faults);
+    /// Returns the head of a signed response; framing lists the header lines that determine the length of the body.
+    std::string responseHead(const FakeServer::Request &request, const std::string &framing) const;
+    std::string eventText(const FakeServer::Request &request, int number) const;
     FakeServer::Response signedResponse(const FakeServer::Request &request, unsigned status, std::string body) const;
 
     FakeServer m_server;
@@ -89,11 +123,12 @@
     std::map<std::string, std::size_t> m_executionCounts;
     std::set<std::string> m_storedResults;
     std::string m_lastHeaders;
-    std::map<std::uint16_t, std::string> m_lastBatchResponses; ///< By the caller's port, which identifies a connection.
+    std::map<std::uint16_t, FakeServer::Response> m_lastResponses; ///< By the caller's port, which identifies a connection.
     std::map<std::string, std::string> m_resultOwners; ///< The request that each result was produced for, by handle.
     std::size_t m_foreignInputs = 0;
-    Fault m_fault = Fault::None;
-    std::size_t m_remainingFaults = 0;
+    std::deque<Fault> m_faults;
+    std::deque<Fault> m_freeFaults;
+    std::size_t m_headLength = 0;
     std::chrono::milliseconds m_serviceTime{2};
     std::size_t m_maxBatchSize = 0;
     std::size_t m_batchCount = 0;
--- a/Tests/Site/SiteFleet.cpp
+++ b/Tests/Site/SiteFleet.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -24,7 +25,7 @@
 
 constexpr std::uint16_t storePort = 32'100;
 constexpr std::uint16_t firstTargetPort = 32'110;
-constexpr std::uint16_t firstDaemonPort = 32'200; ///< Caller port; the next two ports serve readiness and peers.
+constexpr std::uint16_t firstDaemonPort = 32'200; ///< Caller port; the next three ports serve readiness, peers and metrics.
 constexpr std::uint16_t daemonStride = 10;
 constexpr std::chrono::seconds waitTimeout{10};
 constexpr std::chrono::milliseconds pollInterval{10};
@@ -74,6 +75,7 @@
     settings.self.processorShare = 0.25;
     settings.callers = {FakeAddress::text(), port};
     settings.readiness = {FakeAddress::text(), static_cast<std::uint16_t>(port + 1)};
+    settings.metrics = Endpoint{FakeAddress::text(), static_cast<std::uint16_t>(port + 3)};
     settings.store = {FakeAddress::text(), storePort};
     settings.seeds = {{FakeAddress::text(), static_cast<std::uint16_t>(callerPort(0) + 2)}};
     settings.gracePeriod = std::chrono::seconds(4);
@@ -91,7 +93,8 @@
         {"name":"patient","hostname":"h","path_prefix":"/patient/","type":"streaming","timeout_ms":20000,"target_latency_ms":6000,"service":"model","max_attempts":1,
          "phases":[{"service":"stage","after":[],"byte_count":100},{"service":"stage","after":[0],"byte_count":100}]},
         {"name":"brisk","hostname":"h","path_prefix":"/brisk-stream/","type":"streaming","timeout_ms":20000,"target_latency_ms":300,"service":"model","max_attempts":1},
-        {"name":"resume","hostname":"h","path_prefix":"/streamed/","type":"streaming","timeout_ms":4000,"target_latency_ms":1000,"service":"model","max_attempts":2,"resumable":true}],
+        {"name":"resume","hostname":"h","path_prefix":"/streamed/","type":"streaming","timeout_ms":4000,"target_latency_ms":1000,"service":"model","max_attempts":2,"resumable":true},
+        {"name":"resume-twice","hostname":"h","path_prefix":"/streamed-twice/","type":"streaming","timeout_ms":4000,"target_latency_ms":1000,"service":"model","max_attempts":3,"resumable":true}],
         "services":[{"name":"plain","max_connections":8},{"name":"model"},{"name":"stage","fragments":{"capacity":1,"queue":2,"batch":8,"call_ms":30,"item_ms":1,"headroom_mb":1,"handle_s":4}}],
         "tenants":[{"name":"mill","api_keys":[)"
         + keys + "]}]}";
@@ -112,13 +115,15 @@
     m_store->put("keyed.servers", name, "");
 }
 
-void SiteFleet::start()
+void SiteFleet::start(const std::set<std::string> &targetsWithoutRecord)
 {
     m_store->start();
     configure(1, R"("k1","k2")");
     for (const auto &[name, target] : m_targets) {
         target->start();
-        writeTarget(name, "ready");
+        if (!targetsWithoutRecord.contains(name)) {
+            writeTarget(name, "ready");
+        }
     }
     for (std::size_t it = 0; it < m_daemonCount; ++it) {
         startDaemon(it);
@@ -151,6 +156,26 @@
     return exchange(static_cast<std::uint16_t>(callerPort(index) + 1), request).status == 200;
 }
 
+std::size_t SiteFleet::counter(std::size_t daemon, const std::string &name) const
+{
+    Request request;
+    request.method = "GET";
+    request.path = "/metrics";
+    const std::string text = exchange(static_cast<std::uint16_t>(callerPort(daemon) + 3), request).body;
+    const std::string field = "guavalock_" + name + " ";
+    const std::size_t at = text.find(field);
+    return at == std::string::npos ? 0 : std::stoul(text.substr(at + field.size()));
+}
+
+SiteFleet::Request SiteFleet::makeRequest(const std::string &path, const std::string &id)
+{
+    Request request;
+    request.path = path;
+    request.attemptId = id;
+    request.body = "body of " + id;
+    return request;
+}
+
 SiteFleet::Response SiteFleet::send(std::size_t daemon, const Request &request) const
 {
     return exchange(callerPort(daemon), request);
@@ -195,6 +220,7 @@
         Http::read(socket, buffer, parser, ec);
     }
     response.complete = !ec;
+    response.excess = boost::beast::buffers_to_string(buffer.data());
     if (parser.is_header_done()) {
         response.status = parser.get().result_int();
         response.body = parser.get().body();
@@ -216,6 +242,16 @@
     return true;
 }
 
+std::size_t SiteFleet::executionCount(const std::string &id) const
+{
+    std::size_t total = 0;
+    for (const auto &[name, target] : m_targets) {
+        const auto executions = target->runs();
+        total += executions.contains(id) ? executions.at(id) : 0;
+    }
+    return total;
+}
+
 FakeRecordStore &SiteFleet::store()
 {
     return *m_store;
--- a/Tests/Site/SiteFleet.h
+++ b/Tests/Site/SiteFleet.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -28,6 +29,7 @@
         bool complete = false; ///< A complete HTTP message was received.
         std::string retryAfter;
         bool isSigned = false;
+        std::string excess; ///< Bytes on the connection that are not part of the message.
     };
 
     struct Request {
@@ -42,8 +44,9 @@
     explicit SiteFleet(std::size_t daemonCount);
     ~SiteFleet();
 
-    /// Publishes the configuration and target records, starts all servers and waits until every daemon is ready.
-    void start();
+    /// Publishes the configuration and target records, starts all servers and waits until every daemon is ready. Targets without a
+    /// record are unknown to the daemons.
+    void start(const std::set<std::string> &targetsWithoutRecord = {});
 
     /// Publishes a configuration with the given version and the API keys of its only organisation, as comma-separated JSON strings.
     void configure(std::uint64_t version, const std::string &keys);
@@ -51,6 +54,8 @@
     void writeTarget(const std::string &name, const std::string &state);
     void removeTarget(const std::string &name);
 
+    static Request makeRequest(const std::string &path, const std::string &id);
+
     Response send(std::size_t daemon, const Request &request) const;
 
     /// Sends a request and closes the connection after a delay without reading the response.
@@ -59,6 +64,9 @@
     /// Polls a condition until it holds. Returns false if it does not hold within 10 s.
     static bool waitFor(const std::function<bool()> &condition);
 
+    /// Returns how often the plain and model targets executed a request.
+    std::size_t executionCount(const std::string &id) const;
+
     FakeRecordStore &store();
     FakeFleetTarget &target(const std::string &name);
     SiteDaemon &daemon(std::size_t index);
@@ -67,6 +75,9 @@
     void killDaemon(std::size_t index);
     bool isReady(std::size_t index) const;
 
+    /// Returns the value of a daemon's counter, or 0 if it was never incremented.
+    std::size_t counter(std::size_t daemon, const std::string &name) const;
+
 private:
     using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 
