Send a request again to the same target on a new connection only

Seen by callers: a target wrote an earlier refusal once more on an open connection. The request was then answered as not executed, or sent to a target again, although it had been executed. Cause: if a target refuses a request, its connection goes back to the pool. If no other target is left, the request is sent to that target again, possibly on the same connection, where a second copy of the first refusal carries the id of the request and was taken for the response to the second attempt. Ruled out: refusals with the id of another request, and refusals without an id on a connection that was open before, are not accepted (refusalsOfOtherRequestsProveNothingOnOpenConnections passes without the change). Routes whose requests may not be repeated always use new connections. Closing each connection after a refusal would cost a connection per refusal under overload. Change: RelayJob allows an idle connection only to targets that have not been tried for this request. Checked: repeatedRefusalsOfTheSameRequestProveNothing fails without the change: "RepeatedRefusalsTest.cpp:52 equality assertion failed, Expected: 1, Actual: 2" (executions).

--- a/Source/Relay/RelayAttempt.cpp
+++ b/Source/Relay/RelayAttempt.cpp
@@ -92,7 +92,7 @@
 Asio::awaitable<bool> RelayAttempt::sendRequest()
 {
     const Clock::TimePoint deadline = m_context.clock.now() + connectTimeout;
-    const bool open = co_await m_exchange.open(m_parameters.target.address, m_parameters.route.reusesConnections(), deadline);
+    const bool open = co_await m_exchange.open(m_parameters.target.address, m_parameters.mayReuseConnection, deadline);
     if (!open) {
         co_return false;
     }
--- a/Source/Relay/RelayAttempt.h
+++ b/Source/Relay/RelayAttempt.h
@@ -31,6 +31,7 @@
         const RouteRecord &route;
         SelectedTarget target;
         UpstreamParameters upstream;
+        bool mayReuseConnection; ///< An idle connection may be used.
         std::size_t maxIdleConnections; ///< Limit on idle connections kept to the target.
         /// Timeout for the first byte of the response; unset if no retry is possible.
         std::optional<std::chrono::milliseconds> firstByteTimeout;
--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -296,8 +296,10 @@
     };
     const std::size_t maxIdleConnections
         = m_route->reusesConnections() ? m_context.connectionShare.perTarget(m_service->connectionLimit) : 0;
+    // A refusal of this request that the target sends again must not be taken for the response to this attempt.
+    const bool mayReuseConnection = m_route->reusesConnections() && !m_triedTargets.contains(target->id);
     RelayAttempt attempt(m_context,
-                         {m_request, *m_route, *target, upstreamParameters(*target), maxIdleConnections, firstByteLimit,
+                         {m_request, *m_route, *target, upstreamParameters(*target), mayReuseConnection, maxIdleConnections, firstByteLimit,
                           ClientPatience::eventTimeout(*m_route), mayAbandon},
                          m_progress, m_sink, m_cancellation);
     attempt.onStreamStarted([this, &target] {
