Close the connection of a batch call whose response cannot be attributed

Seen by callers: after a stage target had written an earlier refusal once more, requests got stage results of other requests. Results that a target had refused to free counted as freed. Cause: batch responses are matched to calls by their order on the connection. Only a copy with results that had been reported before was recognised. After a copy of a refusal, of a response in which all pieces failed, or of a response to a batch of another size, the connection stayed in use, and each later call read the response to the call before. Calls that free results ignored the status of the response. Ruled out: naming calls by an id of their own, since targets may not be sent ids that no client has sent. A new connection for every call would hold as well, at the cost of a connection per call. Change: handleResponse returns whether new results show that the response belongs to the call; otherwise the connection is closed. A call that frees results has failed unless its status is 200, and its connection is closed too. A copy of the confirmation that results were freed still cannot be recognised; it gives no request a foreign result.

--- a/Source/Batching/BatchDispatcher.cpp
+++ b/Source/Batching/BatchDispatcher.cpp
@@ -43,6 +43,7 @@
 constexpr double idleWaitInCalls = 0.1; ///< Expected wait for the next idle target when several are busy, as a fraction of a call.
 /// Requests with less slack than this are refused, because the duration of later stages varies by as much.
 constexpr Milliseconds refusalHeadroom{100};
+constexpr unsigned httpOk = 200;
 constexpr std::uint64_t maxStageResponseBytes = 1024 * 1024; ///< Far above the answer to the largest batch.
 constexpr double slowThreshold = 2.0; ///< A target whose calls take this many times the configured duration counts as slow.
 
@@ -206,10 +207,10 @@
 {
     Asio::steady_timer timer(m_strand, freeDelay);
     co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
-    if (!worker->freeClient) {
-        worker->freeClient = std::make_unique<HttpClient>(m_strand, worker->target.address, maxStageResponseBytes);
-    }
     while (!worker->handlesToFree.empty()) {
+        if (!worker->freeClient) {
+            worker->freeClient = std::make_unique<HttpClient>(m_strand, worker->target.address, maxStageResponseBytes);
+        }
         HttpClient::Request request;
         request.method = "POST";
         request.path = m_dependencies.codec.freePath();
@@ -217,8 +218,10 @@
         request.headers.push_back(m_dependencies.codec.expectedTargetHeader(worker->target.id));
         const std::vector<std::string> freed = std::exchange(worker->handlesToFree, {});
         const auto answer = co_await worker->freeClient->call(std::move(request), connectTimeout, freeTimeout);
-        if (!answer) {
+        if (!answer || answer->status != httpOk) {
             m_dependencies.metrics.counter("stage_free_failures_total").add();
+            // A refusal that the target sends again must not be taken for the response to the next call.
+            worker->freeClient.reset();
             continue; // The results expire on the target, and occupy its storage until then.
         }
         for (const std::string &it : freed) {
@@ -347,11 +350,12 @@
     const auto answer = co_await worker->batchClient->call(std::move(request), connectTimeout, limit);
     const Clock::TimePoint now = m_dependencies.clock.now();
     worker->busy = false;
-    if (answer && answer->status == 200) {
+    bool attributed = false;
+    if (answer && answer->status == httpOk) {
         worker->recordCallDuration(now - start, expected, now);
         worker->recordCallSuccess();
         m_dependencies.metrics.distribution("stage_call_seconds").observe(now - start);
-        handleResponse(name, *worker, answer->body, parameters, start);
+        attributed = handleResponse(name, *worker, answer->body, parameters, start);
     } else if (answer) {
         worker->backoffUntil = now + refusalBackoff;
         handleFailure(name, *worker, AttemptReport::Outcome::Refused);
@@ -363,6 +367,10 @@
     } else {
         handleFailure(name, *worker, AttemptReport::Outcome::ConnectionLost);
     }
+    if (!attributed) {
+        // Another response may follow on the connection. The next call would take it for its own.
+        worker->batchClient.reset();
+    }
     deliverResults();
     if (!m_stopped) {
         dispatch(name);
@@ -392,13 +400,13 @@
                {"queued", std::to_string(m_services[name].queue.size())}});
 }
 
-void BatchDispatcher::handleResponse(const std::string &name, BatchWorker &worker, const std::string &body,
+bool BatchDispatcher::handleResponse(const std::string &name, BatchWorker &worker, const std::string &body,
                                      const BatchParameters &parameters, Clock::TimePoint start)
 {
     const auto responses = m_dependencies.codec.parseBatchResponse(body, worker.inFlight.size());
     if (!responses) {
         handleFailure(name, worker, AttemptReport::Outcome::Failed);
-        return;
+        return false;
     }
     std::vector<std::string> handles;
     for (const StageCodec::PieceResponse &it : *responses) {
@@ -407,10 +415,8 @@
         }
     }
     if (!worker.recordHandles(handles)) {
-        // The answer to this call may still follow on the connection.
-        worker.batchClient.reset();
         handleFailure(name, worker, AttemptReport::Outcome::ConnectionLost);
-        return;
+        return false;
     }
     const Clock::TimePoint now = m_dependencies.clock.now();
     std::vector<std::string> unwanted;
@@ -453,6 +459,7 @@
     m_dependencies.fleet.recordAttempt(worker.target.id, {AttemptReport::Outcome::Answered, {}, std::nullopt}, parameters.fixedCallTime,
                                        now);
     queueFree(unwanted);
+    return !handles.empty();
 }
 
 void BatchDispatcher::handleFailure(const std::string &name, BatchWorker &worker, AttemptReport::Outcome outcome)
--- a/Source/Batching/BatchDispatcher.h
+++ b/Source/Batching/BatchDispatcher.h
@@ -92,7 +92,8 @@
     boost::asio::awaitable<void> reportInputsRead(std::shared_ptr<BatchWorker> worker, Clock::Duration after);
     void logCall(const std::string &name, const BatchWorker &worker, const std::vector<BatchQueue::Entry> &entries,
                  const std::vector<StageCodec::PieceResponse> &responses, Clock::TimePoint start);
-    void handleResponse(const std::string &name, BatchWorker &worker, const std::string &body, const BatchParameters &parameters,
+    /// Processes a response. Returns whether new results show that it belongs to the call in progress.
+    bool handleResponse(const std::string &name, BatchWorker &worker, const std::string &body, const BatchParameters &parameters,
                         Clock::TimePoint start);
     void handleFailure(const std::string &name, BatchWorker &worker, AttemptReport::Outcome outcome);
     void requeue(const std::string &name, BatchQueue::Entry entry, bool retry);
--- a/Source/Batching/BatchWorker.h
+++ b/Source/Batching/BatchWorker.h
@@ -59,8 +59,8 @@
     ResultStorage storage;
     std::vector<std::string> handlesToFree; ///< Results to free with the next free call.
     bool freeing = false;
-    std::unique_ptr<HttpClient> batchClient; ///< Null until the first call, and after an answer that belongs to another call.
-    std::unique_ptr<HttpClient> freeClient;
+    std::unique_ptr<HttpClient> batchClient; ///< Null until the first call, and after a response that may belong to another call.
+    std::unique_ptr<HttpClient> freeClient; ///< Null until the first call, and after a call that failed.
 
 private:
     std::deque<std::set<std::string>> m_recentHandles; ///< Results of recent answers, latest last.
