Continue a stream only with a stream

Seen by callers: a stream broke off, the next target answered with an error, and the client found the error with its head in the middle of the stream. If the next target sent an empty response, the stream ended as if it were complete. Cause: RelayJob::onResponse passed every complete response to ResponseSink::sendComplete, also after part of a stream had been sent, and a signed success of any kind was forwarded as the rest of the stream. Change: a response continues a stream only if it has the media type of the response that started it. After part of a stream has been sent, any other complete response counts as no response: the request is sent to another target if a retry is permitted, and the stream is aborted otherwise.

--- a/Source/Relay/RelayAttempt.cpp
+++ b/Source/Relay/RelayAttempt.cpp
@@ -131,10 +131,20 @@
     if (head->requestId != m_parameters.request.id && !unattributedRefusal) {
         co_return makeFailureOutcome();
     }
-    if (m_parameters.route.semantics == ExecutionSemantics::Stream && head->isSuccess() && head->isSigned && !head->hasContentEncoding) {
+    if (isStream(*head)) {
         co_return co_await forwardStream(std::move(*head));
     }
-    co_return co_await readComplete(std::move(*head));
+    AttemptOutcome outcome = co_await readComplete(std::move(*head));
+    if (m_progress.started && outcome.result == AttemptOutcome::Result::Responded) {
+        outcome.result = AttemptOutcome::Result::NoResponse; // The client has received part of a stream and can be sent nothing else.
+    }
+    co_return outcome;
+}
+
+bool RelayAttempt::isStream(const UpstreamResponseHead &head) const
+{
+    return m_parameters.route.semantics == ExecutionSemantics::Stream && head.isSuccess() && head.isSigned && !head.hasContentEncoding
+        && (!m_progress.started || head.mediaType == m_progress.mediaType);
 }
 
 Asio::awaitable<AttemptOutcome> RelayAttempt::readComplete(UpstreamResponseHead head)
@@ -165,6 +175,7 @@
 {
     if (!m_progress.started) {
         m_progress.started = true;
+        m_progress.mediaType = head.mediaType;
         const bool started = co_await m_sink.startStream(head);
         if (!started) {
             co_return false;
--- a/Source/Relay/RelayAttempt.h
+++ b/Source/Relay/RelayAttempt.h
@@ -53,6 +53,8 @@
 
 private:
     boost::asio::awaitable<AttemptOutcome> exchange();
+    /// Returns whether a response is a stream, and continues the one that the client has received in part, if there is one.
+    bool isStream(const UpstreamResponseHead &head) const;
     boost::asio::awaitable<bool> sendRequest();
     boost::asio::awaitable<AttemptOutcome> readComplete(UpstreamResponseHead head);
     boost::asio::awaitable<AttemptOutcome> forwardStream(UpstreamResponseHead head);
--- a/Source/Relay/UpstreamResponseHead.h
+++ b/Source/Relay/UpstreamResponseHead.h
@@ -18,6 +18,7 @@
     bool wrongTarget = false; ///< The address now belongs to another target; the request was not executed.
     bool inputsMissing = false; ///< A stage result named by the request no longer exists; the request was not executed.
     bool hasContentEncoding = false; ///< The body has a Content-Encoding other than identity, so its bytes are not the target's own.
+    std::string mediaType; ///< Type of the body, in lower case and without parameters; empty if absent.
     std::optional<TargetLoad> load;
     HttpFields headers; ///< End-to-end headers, forwarded to the client.
 
--- a/Tests/Relay/RelayCodecTest.cpp
+++ b/Tests/Relay/RelayCodecTest.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(hopByHopHeadersAreDroppedExceptProtected);
     CPPUNIT_TEST(requestsRequireIdHostAndAbsolutePath);
     CPPUNIT_TEST(responsesIndicateExecution);
+    CPPUNIT_TEST(mediaTypesAreComparable);
     CPPUNIT_TEST(refusalStatusDoesNotClaimNonExecution);
     CPPUNIT_TEST(lastPromptPartIsNotShared);
     CPPUNIT_TEST(batchResultsMatchPieceOrder);
@@ -133,6 +134,16 @@
         CPPUNIT_ASSERT(!PlatformRelayCodec().parseResponse(load).load);
     }
 
+    void mediaTypesAreComparable()
+    {
+        RelayCodec::ResponseHead head;
+        CPPUNIT_ASSERT_EQUAL(std::string(), PlatformRelayCodec().parseResponse(head).mediaType);
+        for (const std::string value : {"text/event-stream", "Text/Event-Stream; charset=utf-8", "text/event-stream ;x=y"}) {
+            head.set("Content-Type", value);
+            CPPUNIT_ASSERT_EQUAL(std::string("text/event-stream"), PlatformRelayCodec().parseResponse(head).mediaType);
+        }
+    }
+
     void refusalStatusDoesNotClaimNonExecution()
     {
         const PlatformRelayCodec codec;
