Don't take a stream without events that ends with its connection for complete

Seen by callers: a target failed at the beginning of its response, and the client got status 200 with an empty body that was framed as complete. Cause: a response with neither a length nor chunks ends with its connection. If a target closed the connection after the head, a stream without any event counted as complete. Ruled out: a head that breaks off, at any of its bytes, on plain routes and streams (incompleteHeadsAreNoResponses, incompleteHeadsAreNoStreams); responses of this framing that are lost, shortened, or reset, and streams of this framing that end within an event. These tests pass without the change. A plain response that is closed early without a reset cannot be told from a complete one. Change: a stream that ends with its connection has to contain an event; otherwise it has broken off, and is retried, refused or aborted. Checked: streamsWithoutALengthOrEventsDoNotLookWhole fails without the change: "ResponseFramingTest.cpp:41 assertion failed, f1 has status 200".

--- a/Source/Relay/RelayAttempt.cpp
+++ b/Source/Relay/RelayAttempt.cpp
@@ -192,6 +192,7 @@
     auto readResult = UpstreamExchange::ReadResult::More;
     std::optional<DeadlineTimer> stallTimer;
     bool progressed = true;
+    bool receivedData = false;
     while (readResult == UpstreamExchange::ReadResult::More) {
         if (progressed) {
             stallTimer.emplace(m_cancellation.strand(), m_context.clock.now() + m_parameters.eventTimeout, [this] { m_exchange.close(); });
@@ -200,6 +201,7 @@
         readResult = co_await m_exchange.read(data);
         std::string events = m_progress.events.append(data);
         progressed = EventSplitter::containsData(events);
+        receivedData = receivedData || progressed;
         if (m_progress.events.overflowed()) {
             readResult = UpstreamExchange::ReadResult::Failed;
         }
@@ -214,7 +216,9 @@
         }
     }
     stallTimer.reset();
-    const bool complete = readResult == UpstreamExchange::ReadResult::Complete && !m_progress.events.hasPartialEvent();
+    // If the end of the connection is all that ends a stream, one without events cannot be told from one that broke off.
+    const bool complete = readResult == UpstreamExchange::ReadResult::Complete && !m_progress.events.hasPartialEvent()
+        && (receivedData || !m_exchange.endsWithConnection());
     if (!complete) {
         m_progress.events.discardPartialEvent();
         AttemptOutcome outcome = makeFailureOutcome();
--- a/Source/Relay/UpstreamExchange.cpp
+++ b/Source/Relay/UpstreamExchange.cpp
@@ -75,6 +75,11 @@
     co_return m_codec.parseResponse(m_parser->get().base());
 }
 
+bool UpstreamExchange::endsWithConnection() const
+{
+    return m_parser && m_parser->need_eof();
+}
+
 Asio::awaitable<UpstreamExchange::ReadResult> UpstreamExchange::read(std::string &data)
 {
     if (!m_parser->is_done()) {
--- a/Source/Relay/UpstreamExchange.h
+++ b/Source/Relay/UpstreamExchange.h
@@ -45,6 +45,9 @@
     /// Reads the response headers. Returns nullopt if the connection is lost or they are not valid HTTP.
     boost::asio::awaitable<std::optional<UpstreamResponseHead>> head();
 
+    /// Returns whether the response has neither a length nor chunks, so that its body ends with the connection.
+    bool endsWithConnection() const;
+
     /// Waits for body data and appends it to the argument.
     boost::asio::awaitable<ReadResult> read(std::string &data);
 
