--- a/Source/Relay/RelayAttempt.cpp
+++ b/Source/Relay/RelayAttempt.cpp
@@ -92,7 +92,7 @@
 Asio::awaitable<bool> RelayAttempt::sendRequest()
 {
     const Clock::TimePoint deadline = m_context.clock.now() + connectTimeout;
-    const bool open = co_await m_exchange.open(m_parameters.target.address, m_parameters.route.reusesConnections(), deadline);
+    const bool open = co_await m_exchange.open(m_parameters.target.address, m_parameters.mayReuseConnection, deadline);
     if (!open) {
         co_return false;
     }
@@ -131,10 +131,20 @@
     if (head->requestId != m_parameters.request.id && !unattributedRefusal) {
         co_return makeFailureOutcome();
     }
-    if (m_parameters.route.semantics == ExecutionSemantics::Stream && head->isSuccess() && head->isSigned && !head->hasContentEncoding) {
+    if (isStream(*head)) {
         co_return co_await forwardStream(std::move(*head));
     }
-    co_return co_await readComplete(std::move(*head));
+    AttemptOutcome outcome = co_await readComplete(std::move(*head));
+    if (m_progress.started && outcome.result == AttemptOutcome::Result::Responded) {
+        outcome.result = AttemptOutcome::Result::NoResponse; // The client has received part of a stream and can be sent nothing else.
+    }
+    co_return outcome;
+}
+
+bool RelayAttempt::isStream(const UpstreamResponseHead &head) const
+{
+    return m_parameters.route.semantics == ExecutionSemantics::Stream && head.isSuccess() && head.isSigned && !head.hasContentEncoding
+        && (!m_progress.started || head.mediaType == m_progress.mediaType);
 }
 
 Asio::awaitable<AttemptOutcome> RelayAttempt::readComplete(UpstreamResponseHead head)
@@ -165,6 +175,7 @@
 {
     if (!m_progress.started) {
         m_progress.started = true;
+        m_progress.mediaType = head.mediaType;
         const bool started = co_await m_sink.startStream(head);
         if (!started) {
             co_return false;
@@ -181,6 +192,7 @@
     auto readResult = UpstreamExchange::ReadResult::More;
     std::optional<DeadlineTimer> stallTimer;
     bool progressed = true;
+    bool receivedData = false;
     while (readResult == UpstreamExchange::ReadResult::More) {
         if (progressed) {
             stallTimer.emplace(m_cancellation.strand(), m_context.clock.now() + m_parameters.eventTimeout, [this] { m_exchange.close(); });
@@ -189,6 +201,7 @@
         readResult = co_await m_exchange.read(data);
         std::string events = m_progress.events.append(data);
         progressed = EventSplitter::containsData(events);
+        receivedData = receivedData || progressed;
         if (m_progress.events.overflowed()) {
             readResult = UpstreamExchange::ReadResult::Failed;
         }
@@ -203,7 +216,9 @@
         }
     }
     stallTimer.reset();
-    const bool complete = readResult == UpstreamExchange::ReadResult::Complete && !m_progress.events.hasPartialEvent();
+    // If the end of the connection is all that ends a stream, one without events cannot be told from one that broke off.
+    const bool complete = readResult == UpstreamExchange::ReadResult::Complete && !m_progress.events.hasPartialEvent()
+        && (receivedData || !m_exchange.endsWithConnection());
     if (!complete) {
         m_progress.events.discardPartialEvent();
         AttemptOutcome outcome = makeFailureOutcome();
--- a/Source/Relay/RelayAttempt.h
+++ b/Source/Relay/RelayAttempt.h
@@ -31,6 +31,7 @@
         const RouteRecord &route;
         SelectedTarget target;
         UpstreamParameters upstream;
+        bool mayReuseConnection; ///< An idle connection may be used.
         std::size_t maxIdleConnections; ///< Limit on idle connections kept to the target.
         /// Timeout for the first byte of the response; unset if no retry is possible.
         std::optional<std::chrono::milliseconds> firstByteTimeout;
@@ -52,6 +53,8 @@
 
 private:
     boost::asio::awaitable<AttemptOutcome> exchange();
+    /// Returns whether a response is a stream, and continues the one that the client has received in part, if there is one.
+    bool isStream(const UpstreamResponseHead &head) const;
     boost::asio::awaitable<bool> sendRequest();
     boost::asio::awaitable<AttemptOutcome> readComplete(UpstreamResponseHead head);
     boost::asio::awaitable<AttemptOutcome> forwardStream(UpstreamResponseHead head);
