Don't blame content that had responses while other content explains the crashes

Cause: a client repeated one request, so that the faulty part and the whole request had as many crashes and neither was selected; the selection then went on to content that had responses before, of which the key had the most. Content that had responses is selected now only if it has more crashes than any other.

CrashLedgerTest::contentWithResponsesIsNotBlamedForExplainedCrashes failed before.

--- a/Source/Decisions/CrashLedger.cpp
+++ b/Source/Decisions/CrashLedger.cpp
@@ -18,6 +18,15 @@
 constexpr unsigned minCrashesOfSeveral = 5; ///< If several had the most crashes. Until then, responses tell most of them apart.
 constexpr unsigned rareFactor = 2; ///< Content is rare if it has at most this multiple of the uses of the rarest.
 
+unsigned highestCount(const std::map<std::uint64_t, unsigned> &counts)
+{
+    unsigned highest = 0;
+    for (const auto &[content, count] : counts) {
+        highest = std::max(highest, count);
+    }
+    return highest;
+}
+
 } // namespace
 
 CrashLedger::CrashLedger(Limits limits, IsTrialDaemon isTrialDaemon)
@@ -222,13 +231,9 @@
 
 std::vector<std::uint64_t> CrashLedger::selectMost(const Counts &counts, unsigned minimum) const
 {
-    unsigned most = 0;
+    const unsigned most = highestCount(counts);
     std::vector<std::uint64_t> selected;
     for (const auto &[content, count] : counts) {
-        if (count > most) {
-            selected.clear();
-            most = count;
-        }
         if (count == most) {
             selected.push_back(content);
         }
@@ -264,7 +269,9 @@
         }
     }
     std::vector<std::uint64_t> selected = selectMost(withoutResponse, minCrashes);
-    return selected.empty() ? selectMost(withResponse, minCrashesAfterResponse) : selected;
+    // Content that had responses is blamed only for crashes that no other content explains as well.
+    const bool isExplained = highestCount(withoutResponse) >= highestCount(withResponse);
+    return selected.empty() && !isExplained ? selectMost(withResponse, minCrashesAfterResponse) : selected;
 }
 
 void CrashLedger::decide(Clock::TimePoint now)
--- a/Tests/Decisions/CrashLedgerTest.cpp
+++ b/Tests/Decisions/CrashLedgerTest.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(ambiguousQuarantinesAreShort);
     CPPUNIT_TEST(nothingIsDecidedOnHalfTheEvidence);
     CPPUNIT_TEST(responsesBeforeCrashesAreTold);
+    CPPUNIT_TEST(contentWithResponsesIsNotBlamedForExplainedCrashes);
     CPPUNIT_TEST(daemonsTryInTurn);
     CPPUNIT_TEST(ordinaryCrashesQuarantineNothingShared);
     CPPUNIT_TEST(quarantineEndsWithOneTrial);
@@ -207,6 +208,21 @@
         CPPUNIT_ASSERT(!ledger.refuseNew({shared}, start + seconds(2)));
     }
 
+    /// A client repeats one request, so that the faulty part and the whole request have as many crashes.
+    void contentWithResponsesIsNotBlamedForExplainedCrashes()
+    {
+        CrashLedger ledger = makeLedger();
+        ledger.recordResponse({shared, 20}, start - seconds(1));
+        for (unsigned n = 0; n < 4; ++n) {
+            crash(ledger, "t" + std::to_string(n), {shared, 20, faulty, 100}, start + seconds(n));
+            ledger.recordResponse({shared}, start + seconds(n) + milliseconds(100));
+            CPPUNIT_ASSERT(!ledger.refuseNew({shared, 20}, start + seconds(n) + milliseconds(900)));
+        }
+        crash(ledger, "t4", {shared, 20, faulty, 101}, start + seconds(4));
+        CPPUNIT_ASSERT(ledger.refuseNew({faulty}, start + seconds(5)));
+        CPPUNIT_ASSERT(!ledger.refuseNew({shared, 20}, start + seconds(5)));
+    }
+
     /// Six daemons take requests with two quarantined parts. One request is tried in each period until a response comes.
     void daemonsTryInTurn()
     {
