Judge requests for a planned stop when they are whole and before each attempt

Found by review. A request was judged by the time of its first byte, so one whose body ended a second later was accepted although it came too late; and an attempt that starts without a wait, such as a repeat, was never judged again, so that its stream was cut at the end of the stop.

Admission uses the present time, and the search for a target judges the run before each attempt. The stop-admission line and its counter say whether the request is certain or expected to end in time; a refusal tells a run that would outlast the stop from the end of the stop.

The stand-in target now closes the connection of a stream as well with the fault Reset, which had no effect on streams.

--- a/Fakes/FakeFleetTarget.cpp
+++ b/Fakes/FakeFleetTarget.cpp
@@ -461,6 +461,9 @@
     const int first = lastEventId.empty() ? 1 : std::stoi(std::string(lastEventId)) + 1;
     for (int it = first; it <= eventsPerStream; ++it) {
         co_await simulateWork();
+        if (fault == Fault::Reset) {
+            co_return false;
+        }
         if (it == 2 && fault == Fault::Stall) {
             co_return co_await sendEndlessly(socket, chunk(":\n\n"), chunk(":\n\n"), std::chrono::milliseconds(50));
         }
--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -3,6 +3,7 @@
 #include "Batching/StageTimes.h"
 #include "Decisions/Hash.h"
 #include "Decisions/StopAdmission.h"
+#include "Decisions/StopPlan.h"
 #include "Decisions/StopVerdict.h"
 #include "Fleet/Catalogue.h"
 #include "Fleet/CatalogueTable.h"
@@ -159,28 +160,38 @@
                {"contents", std::move(contents)}});
 }
 
+StopVerdict RelayJob::judgeForStop(const StopPlan &stop, RouteDurations::Span span) const
+{
+    const Clock::TimePoint now = m_context.clock.now();
+    const auto expected = m_context.routeDurations.upperBound(m_route->name, span, now);
+    return StopAdmission::decide(stop, {span == RouteDurations::Span::Request ? now : m_request.receivedAt, m_deadline, expected}, now);
+}
+
 bool RelayJob::admitDuringStop()
 {
     const std::optional<StopPlan> stop = m_context.stopSchedule.plan();
     if (!stop) {
         return true;
     }
-    const Clock::TimePoint receivedAt = m_request.receivedAt;
-    const auto expected = m_context.routeDurations.upperBound(m_route->name, RouteDurations::Span::Request, receivedAt);
-    const bool accepted = StopAdmission::decide(*stop, {receivedAt, m_deadline, expected}, receivedAt) != StopVerdict::Refused;
+    const Clock::TimePoint now = m_context.clock.now();
+    const auto expected = m_context.routeDurations.upperBound(m_route->name, RouteDurations::Span::Request, now);
+    // In the order of StopVerdict.
+    static constexpr std::array<std::string_view, 3> verdicts{"certain", "expected", "refused"};
+    const StopVerdict verdict = judgeForStop(*stop, RouteDurations::Span::Request);
+    const std::string name(verdicts.at(static_cast<std::size_t>(verdict)));
     const auto text = [](Clock::Duration duration) {
         return std::to_string(std::chrono::duration_cast<Milliseconds>(duration).count());
     };
-    m_context.metrics.counter(accepted ? "stop_admissions_total{accepted=\"yes\"}" : "stop_admissions_total{accepted=\"no\"}").add();
+    m_context.metrics.counter("stop_admissions_total{verdict=\"" + name + "\"}").add();
     Log::info("relay", "stop-admission",
               {{"id", m_request.id},
-               {"accepted", accepted ? "yes" : "no"},
+               {"verdict", name},
                {"route", m_route->name},
-               {"since_stop_ms", text(receivedAt - stop->begin)},
-               {"left_ms", text(stop->end - receivedAt)},
+               {"since_stop_ms", text(now - stop->begin)},
+               {"left_ms", text(stop->end - now)},
                {"expected_ms", expected ? text(*expected) : ""},
-               {"timeout_ms", text(m_deadline - receivedAt)}});
-    if (accepted) {
+               {"deadline_in_ms", text(m_deadline - now)}});
+    if (verdict != StopVerdict::Refused) {
         return true;
     }
     setRefusal(ResultCode::Draining, RunState::No, "the daemon is shutting down and may not complete the request in time");
@@ -188,6 +199,13 @@
     return false;
 }
 
+bool RelayJob::outlastsStop() const
+{
+    const std::optional<StopPlan> stop = m_context.stopSchedule.plan();
+    const bool isKnown = stop && m_context.routeDurations.upperBound(m_route->name, RouteDurations::Span::Run, m_context.clock.now());
+    return isKnown && !m_progress.started && judgeForStop(*stop, RouteDurations::Span::Run) == StopVerdict::Refused;
+}
+
 Milliseconds RelayJob::elapsedTime() const
 {
     return std::chrono::duration_cast<Milliseconds>(m_context.clock.now() - m_request.receivedAt);
@@ -311,6 +329,10 @@
     Asio::steady_timer timer(m_cancellation.strand());
     Reason reason;
     while (!m_cancellation.cause()) {
+        if (outlastsStop()) {
+            m_cancellation.cancel(RefusalCause::StopTimeout);
+            break;
+        }
         std::optional<SelectedTarget> target = m_context.fleet.choose(requirements(), *m_service, m_context.clock.now(), reason);
         if (target) {
             co_return target;
@@ -536,7 +558,10 @@
 Asio::awaitable<void> RelayJob::refuseForStop()
 {
     m_refusal.retryAfter = StopSchedule::retryAfter;
-    co_await refuse(ResultCode::Draining, "the daemon is shutting down");
+    const std::optional<StopPlan> stop = m_context.stopSchedule.plan();
+    const bool isEnd = stop && m_context.clock.now() >= stop->end;
+    co_await refuse(ResultCode::Draining,
+                    isEnd ? "the daemon is shutting down" : "a run of the request would outlast the daemon's shutdown");
 }
 
 Asio::awaitable<void> RelayJob::refuse(ResultCode code, std::string reason)
--- a/Source/Relay/RelayJob.h
+++ b/Source/Relay/RelayJob.h
@@ -22,11 +22,13 @@
 namespace Guavalock
 {
 
+enum class StopVerdict;
 class ResponseSink;
 class Catalogue;
 struct OrganisationRecord;
 struct RouteRecord;
 struct ServiceRecord;
+struct StopPlan;
 struct SelectedTarget;
 
 /// Processes one opaque request: routing, stages, attempts at targets, retries and refusals. Runs on the request's strand.
@@ -52,6 +54,9 @@
     bool admit();
     /// Returns whether the request can be accepted although the daemon may be stopping. Sets a refusal if not.
     bool admitDuringStop();
+    StopVerdict judgeForStop(const StopPlan &stop, RouteDurations::Span span) const;
+    /// Returns whether a run that began now would outlast a planned stop.
+    bool outlastsStop() const;
     /// Returns whether the request's content is not in quarantine. Sets a refusal if it is.
     bool admitContent();
     void setQuarantineRefusal(Clock::Duration left);
--- a/Tests/Decisions/StopAdmissionTest.cpp
+++ b/Tests/Decisions/StopAdmissionTest.cpp
@@ -42,6 +42,8 @@
     {
         CPPUNIT_ASSERT(decide(seconds(20), std::nullopt, m_plan.begin) == StopVerdict::Refused);
         CPPUNIT_ASSERT(decide(seconds(20), seconds(5), m_plan.begin) == StopVerdict::ExpectedToEnd);
+        CPPUNIT_ASSERT(decide(seconds(20), seconds(5), m_plan.end - seconds(7)) == StopVerdict::ExpectedToEnd);
+        CPPUNIT_ASSERT(decide(seconds(20), seconds(5), m_plan.end - seconds(4)) == StopVerdict::Refused);
         CPPUNIT_ASSERT(decide(seconds(20), seconds(9), m_plan.begin) == StopVerdict::Refused);
         CPPUNIT_ASSERT(decide(seconds(20), seconds(7), m_plan.begin + milliseconds(1'001)) == StopVerdict::Refused);
     }
--- a/Tests/Site/PlannedStopTest.cpp
+++ b/Tests/Site/PlannedStopTest.cpp
@@ -16,6 +16,9 @@
     CPPUNIT_TEST_SUITE(PlannedStopTest);
     CPPUNIT_TEST(lateStreamsAreNotAcceptedOnPastDurations);
     CPPUNIT_TEST(requestsThatWaitedTooLongAreNotStarted);
+    CPPUNIT_TEST(requestsThatWaitedForAShortTimeAreAnswered);
+    CPPUNIT_TEST(requestsAreJudgedWhenTheyAreWhole);
+    CPPUNIT_TEST(repeatsThatOutlastTheStopAreNotSent);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr milliseconds gracePeriod{8'000};
@@ -100,7 +103,8 @@
         auto stopped = stopDaemon(fleet);
         CPPUNIT_ASSERT(SiteFleet::waitFor([&] { return !fleet.isReady(1); }));
         auto waiting = std::async(std::launch::async, [&fleet] { return fleet.send(1, makeRequest("/patient/stream", "waiting")); });
-        std::this_thread::sleep_for(milliseconds(5'500));
+        CPPUNIT_ASSERT(waiting.wait_for(milliseconds(2'000)) == std::future_status::timeout);
+        std::this_thread::sleep_for(milliseconds(3'500));
         fleet.writeTarget("model-1", "ready");
         const SiteFleet::Response response = waiting.get();
         CPPUNIT_ASSERT_MESSAGE("the stream was cut", response.complete);
@@ -108,6 +112,75 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), executionCount(fleet, "waiting"));
         CPPUNIT_ASSERT(stopped.get());
     }
+
+    void requestsThatWaitedForAShortTimeAreAnswered()
+    {
+        SiteFleet fleet(2);
+        fleet.setGracePeriod(gracePeriod);
+        fleet.start();
+        setTimePerEvent(fleet, milliseconds(200));
+        sendStreams(fleet, "/patient/stream", 8);
+        fleet.removeTarget("model-1");
+        fleet.removeTarget("model-2");
+        std::this_thread::sleep_for(milliseconds(1'200)); // Until the daemons have read the removal.
+        auto stopped = stopDaemon(fleet);
+        CPPUNIT_ASSERT(SiteFleet::waitFor([&] { return !fleet.isReady(1); }));
+        auto waiting = std::async(std::launch::async, [&fleet] { return fleet.send(1, makeRequest("/patient/stream", "waiting")); });
+        std::this_thread::sleep_for(milliseconds(2'000));
+        fleet.writeTarget("model-1", "ready");
+        const SiteFleet::Response response = waiting.get();
+        CPPUNIT_ASSERT(response.complete);
+        CPPUNIT_ASSERT_EQUAL(200U, response.status);
+        CPPUNIT_ASSERT(stopped.get());
+    }
+
+    /// The head of the request arrives 1.9 s after the stop began, the end of its body a second later.
+    void requestsAreJudgedWhenTheyAreWhole()
+    {
+        SiteFleet fleet(2);
+        fleet.setGracePeriod(gracePeriod);
+        fleet.start();
+        sendStreams(fleet, "/brisk-stream/x", 8);
+        auto stopped = stopDaemon(fleet);
+        std::this_thread::sleep_for(milliseconds(1'900));
+        setTimePerEvent(fleet, milliseconds(1'200));
+        SiteFleet::Request request = makeRequest("/brisk-stream/x", "slow");
+        request.body = "body";
+        request.bodyDelay = milliseconds(1'000);
+        const SiteFleet::Response response = fleet.send(1, request);
+        CPPUNIT_ASSERT_MESSAGE("the stream was cut", response.complete);
+        CPPUNIT_ASSERT_EQUAL(503U, response.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), executionCount(fleet, "slow"));
+        CPPUNIT_ASSERT(stopped.get());
+    }
+
+    /// The first target closes the connection 5.7 s after the stop began. A run takes 2.5 s.
+    void repeatsThatOutlastTheStopAreNotSent()
+    {
+        SiteFleet fleet(2);
+        fleet.setGracePeriod(gracePeriod);
+        fleet.start();
+        setTimePerEvent(fleet, milliseconds(500));
+        sendStreams(fleet, "/lasting-stream/x", 8);
+        auto stopped = stopDaemon(fleet);
+        CPPUNIT_ASSERT(SiteFleet::waitFor([&] { return !fleet.isReady(1); }));
+        setTimePerEvent(fleet, milliseconds(5'700));
+        for (const std::string name : {"model-1", "model-2"}) {
+            fleet.target(name).setFault(FakeFleetTarget::Fault::Reset, 1);
+        }
+        auto repeated = std::async(std::launch::async, [&fleet] { return fleet.send(1, makeRequest("/lasting-stream/x", "repeated")); });
+        CPPUNIT_ASSERT(SiteFleet::waitFor([&] { return executionCount(fleet, "repeated") > 0; }));
+        std::this_thread::sleep_for(milliseconds(200));
+        setTimePerEvent(fleet, milliseconds(500));
+        for (const std::string name : {"model-1", "model-2"}) {
+            fleet.target(name).setFault(FakeFleetTarget::Fault::None, 0);
+        }
+        const SiteFleet::Response response = repeated.get();
+        CPPUNIT_ASSERT_MESSAGE("the stream was cut", response.complete);
+        CPPUNIT_ASSERT_EQUAL(504U, response.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), executionCount(fleet, "repeated"));
+        CPPUNIT_ASSERT(stopped.get());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlannedStopTest);
--- a/Tests/Site/SiteFleet.h
+++ b/Tests/Site/SiteFleet.h
@@ -39,6 +39,7 @@
         std::string attemptId;
         std::string apiKey = "k1";
         std::vector<std::pair<std::string, std::string>> headers;
+        std::chrono::milliseconds bodyDelay{0}; ///< Time between sending the headers and the body.
     };
 
     explicit SiteFleet(std::size_t daemonCount);
