--- a/Source/Decisions/ContentEvidence.h
+++ b/Source/Decisions/ContentEvidence.h
@@ -20,7 +20,7 @@
     /// A daemon refuses requests with the content.
     struct Quarantine {
         std::uint64_t content = 0;
-        Clock::TimePoint begin;
+        Clock::TimePoint lastCrash; ///< Of a target that had the content. Later responses lift the quarantine.
         Clock::TimePoint end;
         unsigned count = 0; ///< How often the content has been in quarantine, with this time.
     };
--- a/Source/Decisions/CrashLedger.cpp
+++ b/Source/Decisions/CrashLedger.cpp
@@ -1,5 +1,7 @@
 #include "Decisions/CrashLedger.h"
 
+#include "Decisions/ContentHash.h"
+
 #include <algorithm>
 #include <iterator>
 #include <limits>
@@ -15,7 +17,8 @@
 constexpr std::chrono::milliseconds commonCause{50}; ///< Crashes of several targets within this time have a cause other than content.
 constexpr unsigned minCrashes = 2; ///< For content that never had a response, if no other such content had as many.
 constexpr unsigned minCrashesAfterResponse = 3; ///< The same for content that had responses before.
-constexpr unsigned minCrashesOfSeveral = 5; ///< If several had the most crashes. Until then, responses tell most of them apart.
+constexpr unsigned minCrashesOfRequests = 3; ///< For whole requests among several contents that had the most crashes.
+constexpr unsigned minCrashesOfSeveral = 5; ///< For parts among several. Until then, responses tell most of them apart.
 constexpr unsigned rareFactor = 2; ///< Content is rare if it has at most this multiple of the uses of the rarest.
 
 unsigned highestCount(const std::map<std::uint64_t, unsigned> &counts)
@@ -57,14 +60,15 @@
 {
     forgetOutdated(now);
     ContentEvidence news;
-    for (const ContentEvidence::Response &it : evidence.responses) {
-        mergeResponse(it.content, std::min(it.at, now), news);
-    }
+    // Responses are news only if their crash is known.
     for (const CrashReport &it : evidence.crashes) {
         mergeCrash(it, now, news);
     }
+    for (const ContentEvidence::Response &it : evidence.responses) {
+        mergeResponse(it.content, std::min(it.at, now), news);
+    }
     for (const ContentEvidence::Quarantine &it : evidence.quarantines) {
-        mergeQuarantine(it, news);
+        mergeQuarantine(it, now, news);
     }
     decide(now);
     return news;
@@ -77,30 +81,32 @@
         return;
     }
     const auto isSame = [&](const Crash &it) {
-        return it.target == report.target && it.at - at < sameCrash && at - it.at < sameCrash;
+        return it.address == report.address && it.at - at < sameCrash && at - it.at < sameCrash;
     };
     auto crash = std::ranges::find_if(m_crashes, isSame);
     if (crash == m_crashes.end()) {
         if (m_crashes.size() == m_limits.maxCrashes) {
             m_crashes.pop_front();
         }
-        m_crashes.push_back({report.target, at, {}});
+        m_crashes.push_back({report.address, at, {}});
         crash = std::prev(m_crashes.end());
         m_nextDecision = std::min(m_nextDecision, at + m_limits.settleTime);
     }
-    CrashReport added{report.target, at, {}};
-    for (const std::uint64_t it : report.contents) {
-        if (crash->contents.size() < m_limits.maxContentsPerCrash && crash->contents.insert(it).second) {
-            added.contents.push_back(it);
+    std::vector<std::uint64_t> contents = report.contents;
+    std::ranges::stable_partition(contents, [this](std::uint64_t it) { return !lastResponse(it); });
+    CrashReport added{report.address, at, {}};
+    std::vector<std::uint64_t> tried;
+    for (const std::uint64_t it : contents) {
+        if (crash->contents.size() >= m_limits.maxContentsPerCrash || !crash->contents.insert(it).second) {
+            continue;
         }
-    }
-    for (const std::uint64_t it : added.contents) {
+        added.contents.push_back(it);
         tellResponse(it);
-        const auto entry = m_quarantines.find(it);
-        if (entry != m_quarantines.end() && at > entry->second.end) {
-            quarantine(it, m_limits.firstQuarantine, now);
+        if (const auto entry = m_quarantines.find(it); entry != m_quarantines.end() && at > entry->second.end) {
+            tried.push_back(it);
         }
     }
+    repeatQuarantines(tried, now);
     if (!added.contents.empty()) {
         news.crashes.push_back(std::move(added));
     }
@@ -109,12 +115,17 @@
 void CrashLedger::mergeResponse(std::uint64_t content, Clock::TimePoint at, ContentEvidence &news)
 {
     const auto entry = m_quarantines.find(content);
-    const bool liftsQuarantine = entry != m_quarantines.end() && at > entry->second.begin;
+    const bool isQuarantined = entry != m_quarantines.end();
     const bool wasSuspect = isSuspect(content);
+    if (ContentHash::isRequest(content) && !wasSuspect && !isQuarantined) {
+        return; // Few requests are repeated.
+    }
+    const bool liftsQuarantine = isQuarantined && at > entry->second.lastCrash;
     const bool isFirst = wasSuspect && !lastResponse(content);
     rememberResponse(content, at);
     if (liftsQuarantine) {
         m_quarantines.erase(entry);
+        ++m_quarantineVersion;
     }
     if (liftsQuarantine || isFirst || (wasSuspect && !isSuspect(content))) {
         news.responses.push_back({content, at});
@@ -132,30 +143,38 @@
     }
 }
 
-void CrashLedger::mergeQuarantine(const ContentEvidence::Quarantine &quarantine, ContentEvidence &news)
+void CrashLedger::mergeQuarantine(const ContentEvidence::Quarantine &quarantine, Clock::TimePoint now, ContentEvidence &news)
 {
-    if (const auto response = lastResponse(quarantine.content); response && *response > quarantine.begin) {
+    const Clock::TimePoint lastCrash = std::min(quarantine.lastCrash, now);
+    if (const auto response = lastResponse(quarantine.content); response && *response > lastCrash) {
         m_news.responses.push_back({quarantine.content, *response});
         return;
     }
-    if (quarantine.count == 0) {
+    if (quarantine.count == 0 || quarantine.end < lastCrash) {
         return;
     }
     Quarantine &entry = m_quarantines[quarantine.content];
     if (quarantine.count > entry.count) {
-        entry = {quarantine.begin, quarantine.end, quarantine.count, {}};
+        entry = {lastCrash, quarantine.end, quarantine.end - lastCrash, quarantine.count, {}};
         news.quarantines.push_back(quarantine);
+        ++m_quarantineVersion;
+        limitQuarantines();
     }
 }
 
 void CrashLedger::forgetOutdated(Clock::TimePoint now)
 {
     std::erase_if(m_crashes, [&](const Crash &it) { return now - it.at > m_limits.memory; });
-    std::erase_if(m_quarantines, [&](const auto &it) { return now - it.second.end > m_limits.maxQuarantine; });
+    if (std::erase_if(m_quarantines, [&](const auto &it) { return now - it.second.end > m_limits.maxQuarantine; }) > 0) {
+        ++m_quarantineVersion;
+    }
 }
 
 void CrashLedger::rememberUse(std::uint64_t content)
 {
+    if (ContentHash::isRequest(content)) {
+        return; // Few requests are repeated.
+    }
     ++m_uses[content];
     if (m_uses.size() >= m_limits.maxContents / 2) {
         m_olderUses = std::exchange(m_uses, {});
@@ -205,7 +224,7 @@
     const auto isExplained = [this](const Crash &crash) {
         return std::ranges::any_of(m_quarantines, [&](const auto &it) { return crash.contents.contains(it.first); });
     };
-    std::map<std::uint64_t, std::vector<Clock::TimePoint>> times;
+    std::map<std::uint64_t, std::vector<const Crash *>> crashes;
     for (const Crash &crash : m_crashes) {
         if (now < crash.at + m_limits.settleTime || isExplained(crash)) {
             continue;
@@ -213,17 +232,22 @@
         for (const std::uint64_t it : crash.contents) {
             const auto response = lastResponse(it);
             if (!response || crash.at > *response) {
-                times[it].push_back(crash.at);
+                crashes[it].push_back(&crash);
             }
         }
     }
     Counts counts;
-    for (auto &[content, list] : times) {
-        std::ranges::sort(list);
+    for (auto &[content, list] : crashes) {
+        std::ranges::sort(list, {}, &Crash::at);
         unsigned &count = counts[content];
         count = 1;
+        bool isOneTarget = true;
         for (std::size_t it = 1; it < list.size(); ++it) {
-            count += list[it] - list[it - 1] > commonCause ? 1 : 0;
+            count += list[it]->at - list[it - 1]->at > commonCause ? 1 : 0;
+            isOneTarget = isOneTarget && list[it]->address == list.front()->address;
+        }
+        if (isOneTarget) {
+            count = (count + 1) / 2;
         }
     }
     return counts;
@@ -238,10 +262,15 @@
             selected.push_back(content);
         }
     }
-    if (selected.size() > 1 && most >= minCrashesOfSeveral) {
-        return selectRare(selected);
+    if (selected.size() == 1) {
+        return most >= minimum ? selected : std::vector<std::uint64_t>();
     }
-    return selected.size() == 1 && most >= minimum ? selected : std::vector<std::uint64_t>();
+    std::vector<std::uint64_t> requests;
+    std::ranges::copy_if(selected, std::back_inserter(requests), &ContentHash::isRequest);
+    if (!requests.empty() && most >= minCrashesOfRequests) {
+        return requests;
+    }
+    return most >= minCrashesOfSeveral ? selectRare(selected) : std::vector<std::uint64_t>();
 }
 
 std::vector<std::uint64_t> CrashLedger::selectRare(const std::vector<std::uint64_t> &contents) const
@@ -294,19 +323,51 @@
     std::vector<std::uint64_t> guilty = selectGuilty(now);
     while (!guilty.empty()) {
         for (const std::uint64_t it : guilty) {
-            quarantine(it, guilty.size() == 1 ? m_limits.firstQuarantine : m_limits.ambiguousQuarantine, now);
+            beginQuarantine(it, guilty.size() == 1 ? m_limits.firstQuarantine : m_limits.ambiguousQuarantine, now);
         }
         guilty = selectGuilty(now);
     }
 }
 
-void CrashLedger::quarantine(std::uint64_t content, Clock::Duration first, Clock::TimePoint now)
+void CrashLedger::beginQuarantine(std::uint64_t content, Clock::Duration time, Clock::TimePoint now)
 {
+    Clock::TimePoint lastCrash = Clock::TimePoint::min();
+    for (const Crash &it : m_crashes) {
+        if (it.contents.contains(content)) {
+            lastCrash = std::max(lastCrash, it.at);
+        }
+    }
     Quarantine &entry = m_quarantines[content];
-    const Clock::Duration last = entry.end - entry.begin;
-    const Clock::Duration time = std::clamp(2 * last, first, m_limits.maxQuarantine);
-    entry = {now, now + time, entry.count + 1, {}};
-    m_news.quarantines.push_back({content, entry.begin, entry.end, entry.count});
+    entry = {std::min(lastCrash, now), now + time, time, entry.count + 1, {}};
+    m_news.quarantines.push_back({content, entry.lastCrash, entry.end, entry.count});
+    ++m_quarantineVersion;
+    limitQuarantines();
+}
+
+void CrashLedger::repeatQuarantines(const std::vector<std::uint64_t> &contents, Clock::TimePoint now)
+{
+    for (const std::uint64_t it : contents) {
+        // Of several, some are the company of the others.
+        const Clock::Duration next = std::clamp(2 * m_quarantines[it].time, m_limits.firstQuarantine, m_limits.maxQuarantine);
+        beginQuarantine(it, contents.size() == 1 ? next : m_limits.ambiguousQuarantine, now);
+    }
+}
+
+void CrashLedger::limitQuarantines()
+{
+    if (m_quarantines.size() > m_limits.maxQuarantines) {
+        m_quarantines.erase(std::ranges::min_element(m_quarantines, {}, [](const auto &it) { return it.second.end; }));
+    }
+}
+
+bool CrashLedger::refusesRepeats(const std::vector<std::uint64_t> &contents) const
+{
+    return std::ranges::any_of(contents, [this](std::uint64_t it) { return m_quarantines.contains(it); });
+}
+
+unsigned CrashLedger::quarantineVersion() const
+{
+    return m_quarantineVersion;
 }
 
 std::optional<Clock::Duration> CrashLedger::refuseNew(const std::vector<std::uint64_t> &contents, Clock::TimePoint now)
@@ -364,7 +425,7 @@
     std::set<std::uint64_t> contents;
     for (const Crash &it : m_crashes) {
         if (now - it.at <= m_limits.memory) {
-            evidence.crashes.push_back({it.target, it.at, {it.contents.begin(), it.contents.end()}});
+            evidence.crashes.push_back({it.address, it.at, {it.contents.begin(), it.contents.end()}});
             contents.insert(it.contents.begin(), it.contents.end());
         }
     }
@@ -382,7 +443,7 @@
     std::vector<ContentEvidence::Quarantine> list;
     for (const auto &[content, it] : m_quarantines) {
         if (now - it.end <= m_limits.maxQuarantine) {
-            list.push_back({content, it.begin, it.end, it.count});
+            list.push_back({content, it.lastCrash, it.end, it.count});
         }
     }
     return list;
--- a/Source/Decisions/CrashLedger.h
+++ b/Source/Decisions/CrashLedger.h
@@ -31,6 +31,7 @@
     struct Limits {
         std::size_t maxCrashes = 128;
         std::size_t maxContentsPerCrash = 256;
+        std::size_t maxQuarantines = 256;
         std::size_t maxContents = 8'192; ///< Content with a known response, or in requests.
         Clock::Duration memory = std::chrono::minutes(5); ///< Time after which a crash is forgotten.
         Clock::Duration settleTime = std::chrono::milliseconds(400); ///< Time in which all daemons have told what they had at a target.
@@ -61,6 +62,9 @@
     /// Returns how long the content remains in quarantine, or nothing if an accepted request can be sent.
     std::optional<Clock::Duration> refuseSend(const std::vector<std::uint64_t> &contents, Clock::TimePoint now) const;
 
+    /// Returns whether the content has been in quarantine since its last response. A request that may have run is not repeated then.
+    bool refusesRepeats(const std::vector<std::uint64_t> &contents) const;
+
     /// Returns what this daemon has recorded and decided since the last call.
     ContentEvidence takeNews();
 
@@ -72,6 +76,9 @@
     /// Returns the content in quarantine.
     std::vector<ContentEvidence::Quarantine> quarantines(Clock::TimePoint now) const;
 
+    /// Returns a number that changes with the quarantines.
+    unsigned quarantineVersion() const;
+
     std::size_t crashCount() const;
 
     /// Returns the number of known crashes of targets that had the content.
@@ -79,14 +86,15 @@
 
 private:
     struct Crash {
-        std::string target;
+        std::string address;
         Clock::TimePoint at;
         std::set<std::uint64_t> contents;
     };
 
     struct Quarantine {
-        Clock::TimePoint begin;
+        Clock::TimePoint lastCrash;
         Clock::TimePoint end;
+        Clock::Duration time{}; ///< How long it lasts.
         unsigned count = 0;
         Clock::TimePoint trialEnd{}; ///< End of the period in which this daemon has tried a request.
     };
@@ -96,7 +104,7 @@
     // Each of these adds what was new to `news`.
     void mergeCrash(const CrashReport &report, Clock::TimePoint now, ContentEvidence &news);
     void mergeResponse(std::uint64_t content, Clock::TimePoint at, ContentEvidence &news);
-    void mergeQuarantine(const ContentEvidence::Quarantine &quarantine, ContentEvidence &news);
+    void mergeQuarantine(const ContentEvidence::Quarantine &quarantine, Clock::TimePoint now, ContentEvidence &news);
     void forgetOutdated(Clock::TimePoint now);
     /// Tells the others once that the content of a crash had a response.
     void tellResponse(std::uint64_t content);
@@ -112,12 +120,14 @@
     void quarantineGuilty(Clock::TimePoint now);
     /// Returns the content to quarantine next, if any.
     std::vector<std::uint64_t> selectGuilty(Clock::TimePoint now) const;
-    /// Returns the content with the most crashes if that is one and has `minimum`, or the rare ones of several that have
-    /// `minCrashesOfSeveral`.
+    /// Returns the content with the most crashes if that is one and has `minimum`, or some of several that have more.
     std::vector<std::uint64_t> selectMost(const Counts &counts, unsigned minimum) const;
     std::vector<std::uint64_t> selectRare(const std::vector<std::uint64_t> &contents) const;
     unsigned useCount(std::uint64_t content) const;
-    void quarantine(std::uint64_t content, Clock::Duration first, Clock::TimePoint now);
+    void beginQuarantine(std::uint64_t content, Clock::Duration time, Clock::TimePoint now);
+    /// Begins the next quarantines of content whose trial may have crashed a target.
+    void repeatQuarantines(const std::vector<std::uint64_t> &contents, Clock::TimePoint now);
+    void limitQuarantines();
 
     Limits m_limits;
     IsTrialDaemon m_isTrialDaemon;
@@ -130,6 +140,7 @@
     Counts m_olderUses;
     std::map<std::uint64_t, Quarantine> m_quarantines;
     Clock::TimePoint m_nextDecision = Clock::TimePoint::max(); ///< When the next crash has settled.
+    unsigned m_quarantineVersion = 0;
     ContentEvidence m_news;
 };
 
--- a/Source/Decisions/CrashReport.h
+++ b/Source/Decisions/CrashReport.h
@@ -11,9 +11,9 @@
 
 /// The content that one daemon had at a target when the target crashed, as far as its responses had not begun.
 struct CrashReport {
-    std::string target;
+    std::string address; ///< Of the target. Its id may change when it starts again.
     Clock::TimePoint at;
-    std::vector<std::uint64_t> contents; ///< Hashes, without duplicates.
+    std::vector<std::uint64_t> contents; ///< See ContentHash; without duplicates.
 };
 
 } // namespace Guavalock
--- a/Source/Fleet/QuarantineTable.cpp
+++ b/Source/Fleet/QuarantineTable.cpp
@@ -29,7 +29,7 @@
 void QuarantineTable::recordCrash(const CrashReport &crash, Clock::TimePoint now)
 {
     m_metrics.counter("target_crashes_total").add();
-    Log::warning("fleet", "target-crashed", {{"target", crash.target}, {"contents", std::to_string(crash.contents.size())}});
+    Log::warning("fleet", "target-crashed", {{"address", crash.address}, {"contents", std::to_string(crash.contents.size())}});
     bool hasNews = false;
     {
         const std::scoped_lock lock(m_mutex);
@@ -86,6 +86,12 @@
     return m_ledger.refuseSend(contents, now);
 }
 
+bool QuarantineTable::refusesRepeats(const std::vector<std::uint64_t> &contents)
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_ledger.refusesRepeats(contents);
+}
+
 ContentEvidence QuarantineTable::takeNews()
 {
     const std::scoped_lock lock(m_mutex);
@@ -100,6 +106,10 @@
 
 void QuarantineTable::reportChanges(Clock::TimePoint now)
 {
+    if (m_ledger.quarantineVersion() == m_reportedVersion) {
+        return;
+    }
+    m_reportedVersion = m_ledger.quarantineVersion();
     std::map<std::uint64_t, unsigned> current;
     for (const ContentEvidence::Quarantine &it : m_ledger.quarantines(now)) {
         current[it.content] = it.count;
--- a/Source/Fleet/QuarantineTable.h
+++ b/Source/Fleet/QuarantineTable.h
@@ -38,6 +38,9 @@
     /// Returns how long the content remains in quarantine, or nothing if an accepted request can be sent.
     std::optional<Clock::Duration> refuseSend(const std::vector<std::uint64_t> &contents, Clock::TimePoint now);
 
+    /// Returns whether a request with the content that may have run must not be repeated.
+    bool refusesRepeats(const std::vector<std::uint64_t> &contents);
+
     /// Returns what this daemon has recorded and decided since the last call.
     ContentEvidence takeNews();
 
@@ -54,6 +57,7 @@
     std::function<void()> m_onNews;
     RankedMutex m_mutex{LockRank::Quarantines};
     CrashLedger m_ledger;
+    unsigned m_reportedVersion = 0;
     std::map<std::uint64_t, unsigned> m_reported; ///< Quarantines by content, with their count.
 };
 
--- a/Source/Mesh/Generated/Mesh_generated.h
+++ b/Source/Mesh/Generated/Mesh_generated.h
@@ -1198,12 +1198,12 @@
   typedef CrashBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_TARGET = 4,
+    VT_ADDRESS = 4,
     VT_AGE_US = 6,
     VT_CONTENTS = 8
   };
-  const flatbuffers::String *target() const {
-    return GetPointer<const flatbuffers::String *>(VT_TARGET);
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
   }
   int64_t age_us() const {
     return GetField<int64_t>(VT_AGE_US, 0);
@@ -1213,8 +1213,8 @@
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_TARGET) &&
-           verifier.VerifyString(target()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
            VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
            VerifyOffset(verifier, VT_CONTENTS) &&
            verifier.VerifyVector(contents()) &&
@@ -1226,8 +1226,8 @@
   typedef Crash Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
-    fbb_.AddOffset(Crash::VT_TARGET, target);
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(Crash::VT_ADDRESS, address);
   }
   void add_age_us(int64_t age_us) {
     fbb_.AddElement<int64_t>(Crash::VT_AGE_US, age_us, 0);
@@ -1248,13 +1248,13 @@
 
 inline flatbuffers::Offset<Crash> CreateCrash(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> target = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
     int64_t age_us = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> contents = 0) {
   CrashBuilder builder_(_fbb);
   builder_.add_age_us(age_us);
   builder_.add_contents(contents);
-  builder_.add_target(target);
+  builder_.add_address(address);
   return builder_.Finish();
 }
 
@@ -1265,14 +1265,14 @@
 
 inline flatbuffers::Offset<Crash> CreateCrashDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const char *target = nullptr,
+    const char *address = nullptr,
     int64_t age_us = 0,
     const std::vector<uint64_t> *contents = nullptr) {
-  auto target__ = target ? _fbb.CreateString(target) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
   auto contents__ = contents ? _fbb.CreateVector<uint64_t>(*contents) : 0;
   return Guavalock::MeshWire::CreateCrash(
       _fbb,
-      target__,
+      address__,
       age_us,
       contents__);
 }
--- a/Source/Mesh/MeshCodec.cpp
+++ b/Source/Mesh/MeshCodec.cpp
@@ -33,6 +33,11 @@
     return now + std::chrono::microseconds(std::clamp<std::int64_t>(microseconds, -longest, longest));
 }
 
+Clock::TimePoint timeBefore(std::int64_t microseconds, Clock::TimePoint now)
+{
+    return now - (timeFromNow(microseconds, now) - now);
+}
+
 std::string text(const flatbuffers::String *it)
 {
     return it == nullptr ? std::string() : it->str();
@@ -181,7 +186,7 @@
     update.topic = static_cast<Topic>(wire.topic());
     update.next = wire.next();
     update.complete = wire.complete();
-    update.confirmed = timeFromNow(-wire.age_us(), now);
+    update.confirmed = timeBefore(wire.age_us(), now);
     if (wire.records() != nullptr) {
         for (const MeshWire::Record *it : *wire.records()) {
             KeyedRecord record{text(it->key()), std::nullopt, it->offset()};
@@ -219,7 +224,7 @@
     ContentEvidence evidence;
     if (wire.crashes() != nullptr) {
         for (const MeshWire::Crash *it : *wire.crashes()) {
-            CrashReport crash{text(it->target()), timeFromNow(-it->age_us(), now), {}};
+            CrashReport crash{text(it->address()), timeBefore(it->age_us(), now), {}};
             if (it->contents() != nullptr) {
                 crash.contents.assign(it->contents()->begin(), it->contents()->end());
             }
@@ -228,12 +233,12 @@
     }
     if (wire.responses() != nullptr) {
         for (const MeshWire::ContentResponse *it : *wire.responses()) {
-            evidence.responses.push_back({it->content(), timeFromNow(-it->age_us(), now)});
+            evidence.responses.push_back({it->content(), timeBefore(it->age_us(), now)});
         }
     }
     if (wire.quarantines() != nullptr) {
         for (const MeshWire::Quarantine *it : *wire.quarantines()) {
-            evidence.quarantines.push_back({it->content(), timeFromNow(-it->age_us(), now), timeFromNow(it->left_us(), now), it->count()});
+            evidence.quarantines.push_back({it->content(), timeBefore(it->age_us(), now), timeFromNow(it->left_us(), now), it->count()});
         }
     }
     if (handlers.evidence) {
@@ -335,7 +340,7 @@
     Builder builder(firstBufferBytes);
     std::vector<flatbuffers::Offset<MeshWire::Crash>> crashes;
     for (const CrashReport &it : evidence.crashes) {
-        crashes.push_back(MeshWire::CreateCrashDirect(builder, it.target.c_str(), microsecondsTo(now, it.at), &it.contents));
+        crashes.push_back(MeshWire::CreateCrashDirect(builder, it.address.c_str(), microsecondsTo(now, it.at), &it.contents));
     }
     std::vector<flatbuffers::Offset<MeshWire::ContentResponse>> responses;
     for (const ContentEvidence::Response &it : evidence.responses) {
@@ -344,7 +349,7 @@
     std::vector<flatbuffers::Offset<MeshWire::Quarantine>> quarantines;
     for (const ContentEvidence::Quarantine &it : evidence.quarantines) {
         quarantines.push_back(
-            MeshWire::CreateQuarantine(builder, it.content, microsecondsTo(now, it.begin), microsecondsTo(it.end, now), it.count));
+            MeshWire::CreateQuarantine(builder, it.content, microsecondsTo(now, it.lastCrash), microsecondsTo(it.end, now), it.count));
     }
     const auto body = MeshWire::CreateEvidenceDirect(builder, &crashes, &responses, &quarantines);
     return finish(builder, MeshWire::Body::Evidence, body.Union());
--- a/Source/Mesh/MeshNetwork.cpp
+++ b/Source/Mesh/MeshNetwork.cpp
@@ -163,8 +163,8 @@
     if (first) {
         m_membership.setLinked(vm, true);
         Log::info("mesh", "link-up", {{"peer", vm}});
-        m_callbacks.linked(vm);
     }
+    m_callbacks.linked(vm);
 }
 
 void MeshNetwork::removeLink(const std::string &vm, const std::shared_ptr<FrameChannel> &channel)
--- a/Source/Mesh/MeshNetwork.h
+++ b/Source/Mesh/MeshNetwork.h
@@ -36,7 +36,7 @@
         std::function<void(const std::string &vm, Topic, std::uint64_t from)> recordsRequest;
         std::function<void(RecordUpdate)> records;
         std::function<void(ContentEvidence)> evidence;
-        std::function<void(const std::string &vm)> linked; ///< A daemon has been linked.
+        std::function<void(const std::string &vm)> linked; ///< A link to a daemon has been added.
     };
 
     MeshNetwork(boost::asio::any_io_executor executor, const Clock &clock, FleetMembership &membership);
--- a/Source/Relay/CrashDetector.cpp
+++ b/Source/Relay/CrashDetector.cpp
@@ -1,11 +1,11 @@
 #include "Relay/CrashDetector.h"
 
 #include "Flow/DeadlineTimer.h"
-#include "Net/Connection.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -33,23 +33,23 @@
 {
 }
 
-void CrashDetector::reportLoss(const std::string &target, const Endpoint &address, const std::vector<std::uint64_t> &contents)
+void CrashDetector::reportLoss(const Endpoint &address, const std::vector<std::uint64_t> &contents)
 {
     {
         const std::scoped_lock lock(m_mutex);
-        const auto [it, isNew] = m_losses.try_emplace(target, CrashReport{target, m_clock.now(), {}});
+        const auto [it, isNew] = m_losses.try_emplace(address, CrashReport{address.text(), m_clock.now(), {}});
         it->second.contents.insert(it->second.contents.end(), contents.begin(), contents.end());
         if (!isNew) {
             return;
         }
     }
-    Asio::co_spawn(Asio::make_strand(m_executor), check(target, address), Asio::detached);
+    Asio::co_spawn(Asio::make_strand(m_executor), check(address), Asio::detached);
 }
 
-CrashReport CrashDetector::takeLosses(const std::string &target)
+CrashReport CrashDetector::takeLosses(const Endpoint &address)
 {
     const std::scoped_lock lock(m_mutex);
-    CrashReport report = std::move(m_losses.extract(target).mapped());
+    CrashReport report = std::move(m_losses.extract(address).mapped());
     std::ranges::sort(report.contents);
     const auto duplicates = std::ranges::unique(report.contents);
     report.contents.erase(duplicates.begin(), duplicates.end());
@@ -58,24 +58,25 @@
 
 Asio::awaitable<bool> CrashDetector::refusesConnections(const Endpoint &address)
 {
+    boost::system::error_code ec;
+    const Asio::ip::address ip = Asio::ip::make_address(address.address, ec);
+    if (ec) {
+        co_return false;
+    }
     const auto executor = co_await Asio::this_coro::executor;
-    Connection connection(executor, address);
-    bool timedOut = false;
-    const DeadlineTimer timer(executor, m_clock.now() + connectTimeout, [&] {
-        timedOut = true;
-        connection.close();
-    });
-    const bool connected = co_await connection.connect();
-    co_return !connected && !timedOut;
+    Asio::ip::tcp::socket socket(executor);
+    const DeadlineTimer timer(executor, m_clock.now() + connectTimeout, [&] { socket.close(); });
+    const auto [connectError] = co_await socket.async_connect({ip, address.port}, Asio::as_tuple(Asio::use_awaitable));
+    co_return connectError == Asio::error::connection_refused;
 }
 
-Asio::awaitable<void> CrashDetector::check(std::string target, Endpoint address)
+Asio::awaitable<void> CrashDetector::check(Endpoint address)
 {
     const auto self = shared_from_this();
     Asio::steady_timer timer(co_await Asio::this_coro::executor, collectTime);
     co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
     const bool crashed = co_await refusesConnections(address);
-    const CrashReport report = takeLosses(target);
+    const CrashReport report = takeLosses(address);
     if (crashed) {
         m_onCrash(report);
     }
--- a/Source/Relay/CrashDetector.h
+++ b/Source/Relay/CrashDetector.h
@@ -28,18 +28,18 @@
     CrashDetector(boost::asio::any_io_executor executor, const Clock &clock, Handler onCrash);
 
     /// A target closed the connection of a request before its response had begun. `contents` are the hashes of the request's content.
-    void reportLoss(const std::string &target, const Endpoint &address, const std::vector<std::uint64_t> &contents);
+    void reportLoss(const Endpoint &address, const std::vector<std::uint64_t> &contents);
 
 private:
-    boost::asio::awaitable<void> check(std::string target, Endpoint address);
+    boost::asio::awaitable<void> check(Endpoint address);
     boost::asio::awaitable<bool> refusesConnections(const Endpoint &address);
-    CrashReport takeLosses(const std::string &target);
+    CrashReport takeLosses(const Endpoint &address);
 
     boost::asio::any_io_executor m_executor;
     const Clock &m_clock;
     Handler m_onCrash;
     RankedMutex m_mutex{LockRank::Connections};
-    std::map<std::string, CrashReport> m_losses; ///< Of targets that are being checked.
+    std::map<Endpoint, CrashReport> m_losses; ///< Of targets that are being checked.
 };
 
 } // namespace Guavalock
--- a/Source/Relay/RelayAttempt.cpp
+++ b/Source/Relay/RelayAttempt.cpp
@@ -42,6 +42,11 @@
     return m_report;
 }
 
+const std::optional<Clock::TimePoint> &RelayAttempt::firstEventTime() const
+{
+    return m_firstEventTime;
+}
+
 AttemptOutcome RelayAttempt::makeOutcome(AttemptOutcome::Result result, AttemptReport::Outcome reportEnd)
 {
     m_report.outcome = reportEnd;
@@ -192,7 +197,6 @@
     auto readResult = UpstreamExchange::ReadResult::More;
     std::optional<DeadlineTimer> stallTimer;
     bool progressed = true;
-    bool receivedData = false;
     while (readResult == UpstreamExchange::ReadResult::More) {
         if (progressed) {
             stallTimer.emplace(m_cancellation.strand(), m_context.clock.now() + m_parameters.eventTimeout, [this] { m_exchange.close(); });
@@ -201,7 +205,9 @@
         readResult = co_await m_exchange.read(data);
         std::string events = m_progress.events.append(data);
         progressed = EventSplitter::containsData(events);
-        receivedData = receivedData || progressed;
+        if (progressed && !m_firstEventTime) {
+            m_firstEventTime = m_context.clock.now();
+        }
         if (m_progress.events.overflowed()) {
             readResult = UpstreamExchange::ReadResult::Failed;
         }
@@ -218,7 +224,7 @@
     stallTimer.reset();
     // If the end of the connection is all that ends a stream, one without events cannot be told from one that broke off.
     const bool complete = readResult == UpstreamExchange::ReadResult::Complete && !m_progress.events.hasPartialEvent()
-        && (receivedData || !m_exchange.endsWithConnection());
+        && (m_firstEventTime || !m_exchange.endsWithConnection());
     if (!complete) {
         m_progress.events.discardPartialEvent();
         AttemptOutcome outcome = makeFailureOutcome();
--- a/Source/Relay/RelayAttempt.h
+++ b/Source/Relay/RelayAttempt.h
@@ -48,6 +48,9 @@
 
     boost::asio::awaitable<AttemptOutcome> run();
 
+    /// Returns when the first event of a stream arrived in this attempt, or nothing.
+    const std::optional<Clock::TimePoint> &firstEventTime() const;
+
     /// Returns the attempt's result for the target's health and load statistics.
     const AttemptReport &report() const;
 
@@ -71,6 +74,7 @@
     UpstreamExchange m_exchange;
     std::function<void()> m_onStreamStarted;
     AttemptReport m_report;
+    std::optional<Clock::TimePoint> m_firstEventTime;
     bool m_timedOut = false;
 };
 
--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -1,6 +1,7 @@
 #include "Relay/RelayJob.h"
 
 #include "Batching/StageTimes.h"
+#include "Decisions/ContentHash.h"
 #include "Decisions/Hash.h"
 #include "Decisions/StopAdmission.h"
 #include "Decisions/StopPlan.h"
@@ -112,9 +113,10 @@
 
 bool RelayJob::admitContent()
 {
-    m_contents = m_request.sharedPromptParts;
+    std::ranges::transform(m_request.sharedPromptParts, std::back_inserter(m_contents), &ContentHash::ofPart);
     const std::string organisation = m_organisation != nullptr ? m_organisation->name : std::string();
-    m_contents.push_back(Hash::of(m_request.body, Hash::of(organisation, Hash::of(m_request.requestTarget, Hash::of(m_request.method)))));
+    const std::uint64_t seed = Hash::of(organisation, Hash::of(m_request.requestTarget, Hash::of(m_request.method)));
+    m_contents.push_back(ContentHash::ofRequest(Hash::of(m_request.body, seed)));
     const std::optional<Clock::Duration> left = m_context.quarantines.refuseNew(m_contents, m_request.receivedAt);
     if (left) {
         setQuarantineRefusal(*left);
@@ -128,20 +130,21 @@
     m_refusal.retryAfter = std::chrono::ceil<Milliseconds>(left);
 }
 
-void RelayJob::recordContent(const SelectedTarget &target, const AttemptOutcome &outcome)
+void RelayJob::recordContent(const SelectedTarget &target, const AttemptOutcome &outcome, std::optional<Clock::TimePoint> firstEventTime)
 {
     using Result = AttemptOutcome::Result;
-    if (outcome.result == Result::Responded || outcome.result == Result::Streamed) {
-        m_context.quarantines.recordResponse(m_contents, m_context.clock.now());
-        return;
+    const Clock::TimePoint now = m_context.clock.now();
+    const bool isComplete = outcome.result == Result::Responded || outcome.result == Result::Streamed;
+    if (isComplete && outcome.head.isSuccess()) {
+        m_context.quarantines.recordResponse(m_contents, now);
     }
     if (outcome.result != Result::NoResponse && outcome.result != Result::StreamInterrupted) {
         return;
     }
     logLoss(target.id);
-    const bool hasBegun = outcome.result == Result::StreamInterrupted && m_context.clock.now() - m_streamStart > responseBeginTime;
+    const bool hasBegun = firstEventTime && now - *firstEventTime > responseBeginTime;
     if (!hasBegun) {
-        m_context.crashes.reportLoss(target.id, target.address, m_contents);
+        m_context.crashes.reportLoss(target.address, m_contents);
     }
 }
 
@@ -333,6 +336,9 @@
             m_cancellation.cancel(RefusalCause::StopTimeout);
             break;
         }
+        if (m_context.quarantines.refuseSend(m_contents, m_context.clock.now())) {
+            break;
+        }
         std::optional<SelectedTarget> target = m_context.fleet.choose(requirements(), *m_service, m_context.clock.now(), reason);
         if (target) {
             co_return target;
@@ -376,17 +382,17 @@
 
 Asio::awaitable<RelayJob::NextStep> RelayJob::runAttempt()
 {
-    if (const auto left = m_context.quarantines.refuseSend(m_contents, m_context.clock.now())) {
-        m_refusal.retryAfter = std::chrono::ceil<Milliseconds>(*left);
-        co_await refuse(ResultCode::ContentQuarantined, "requests with this content crashed targets");
-        co_return NextStep::Done;
-    }
     const std::optional<SelectedTarget> target = co_await selectTarget();
     if (!target) {
         if (m_cancellation.cause()) {
             AttemptOutcome noOutcome;
             co_return co_await onCancelled(noOutcome);
         }
+        if (const auto left = m_context.quarantines.refuseSend(m_contents, m_context.clock.now())) {
+            m_refusal.retryAfter = std::chrono::ceil<Milliseconds>(*left);
+            co_await refuse(ResultCode::ContentQuarantined, "requests with this content crashed targets");
+            co_return NextStep::Done;
+        }
         m_refusal.retryAfter = shortRetryAfter;
         const std::string reason = m_refusal.reason;
         co_await refuse(ResultCode::NoTarget, reason);
@@ -416,7 +422,6 @@
         m_context.unanswered.remove(m_cancellation);
         m_context.fleet.recordResponseStart(target->id, m_request.promptTokens);
         const Clock::TimePoint now = m_context.clock.now();
-        m_streamStart = now;
         m_timeToFirstEvent = elapsedTime();
         m_context.metrics.distribution("first_event_seconds").observe(*m_timeToFirstEvent);
         m_context.stageTimes.observe(m_service->name, now - m_attemptStart, now);
@@ -428,7 +433,7 @@
         timer.setComplete();
         m_timer->setComplete();
     }
-    recordContent(*target, outcome);
+    recordContent(*target, outcome, attempt.firstEventTime());
     m_context.fleet.recordResponseStart(target->id, m_request.promptTokens);
     m_context.fleet.recordAttempt(target->id, attempt.report(), m_service->coldStartTime, m_context.clock.now());
     // In the order of AttemptOutcome::Result.
@@ -441,7 +446,8 @@
 
 bool RelayJob::acquireRetry()
 {
-    return m_route->retryable() && m_possibleExecutions < m_route->maxAttempts && remainingTime() > responseMargin
+    const bool permitted = m_route->retryable() && m_possibleExecutions < m_route->maxAttempts && remainingTime() > responseMargin;
+    return permitted && !m_context.quarantines.refusesRepeats(m_contents)
         && m_context.retryBudget.tryAcquire(m_service->name, m_context.clock.now());
 }
 
--- a/Source/Relay/RelayJob.h
+++ b/Source/Relay/RelayJob.h
@@ -63,7 +63,7 @@
     /// Logs a response that a target did not complete, with the hashes of the request's content.
     void logLoss(const std::string &target) const;
     /// Records what an attempt shows about the request's content.
-    void recordContent(const SelectedTarget &target, const AttemptOutcome &outcome);
+    void recordContent(const SelectedTarget &target, const AttemptOutcome &outcome, std::optional<Clock::TimePoint> firstEventTime);
     /// Sets the refusal to send. Returns false, so that admit() can return its result.
     bool setRefusal(ResultCode code, RunState run, std::string reason);
     void startStages();
@@ -112,7 +112,6 @@
     Clock::TimePoint m_objectiveDeadline; ///< Receipt of the request plus the route's latency objective.
     Clock::TimePoint m_attemptStart; ///< Start of the last attempt.
     std::optional<RouteTimer> m_timer; ///< Since the receipt of the request.
-    Clock::TimePoint m_streamStart{}; ///< When the first event of the response arrived.
     std::unique_ptr<StageRun> m_stages;
     StreamProgress m_progress;
     std::optional<std::chrono::milliseconds> m_stagesDuration; ///< From receipt of the request to completion of its stages.
--- a/Source/Site/EvidenceExchange.cpp
+++ b/Source/Site/EvidenceExchange.cpp
@@ -1,6 +1,5 @@
 #include "Site/EvidenceExchange.h"
 
-#include "Fleet/FleetMembership.h"
 #include "Fleet/QuarantineTable.h"
 #include "Mesh/MeshNetwork.h"
 
@@ -40,15 +39,19 @@
 } // namespace
 
 EvidenceExchange::EvidenceExchange(const Asio::any_io_executor &executor, const Clock &clock, QuarantineTable &quarantines,
-                                   FleetMembership &membership, MeshNetwork &mesh)
+                                   MeshNetwork &mesh)
     : m_strand(Asio::make_strand(executor))
     , m_clock(clock)
     , m_quarantines(quarantines)
-    , m_membership(membership)
     , m_mesh(mesh)
 {
 }
 
+void EvidenceExchange::setRelay(bool relay)
+{
+    m_relay = relay;
+}
+
 void EvidenceExchange::publish()
 {
     schedule({});
@@ -56,10 +59,8 @@
 
 void EvidenceExchange::receive(const ContentEvidence &evidence)
 {
-    const Clock::TimePoint now = m_clock.now();
-    ContentEvidence news = m_quarantines.merge(evidence, now);
-    const bool isHub = m_membership.roster(now) != nullptr;
-    schedule(isHub ? std::move(news) : ContentEvidence());
+    ContentEvidence news = m_quarantines.merge(evidence, m_clock.now());
+    schedule(m_relay ? std::move(news) : ContentEvidence());
 }
 
 void EvidenceExchange::greet(const std::string &vm)
--- a/Source/Site/EvidenceExchange.h
+++ b/Source/Site/EvidenceExchange.h
@@ -6,24 +6,26 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <atomic>
 #include <memory>
 #include <string>
 
 namespace Guavalock
 {
 
-class FleetMembership;
 class MeshNetwork;
 class QuarantineTable;
 
-/// Exchanges the evidence of QuarantineTable with the other daemons. Hubs pass on what is new to them.
+/// Exchanges the evidence of QuarantineTable with the other daemons. What is new is passed on.
 ///
 /// Evidence is gathered for a short time, because one crash is seen by many requests. Owned by a shared_ptr.
 class EvidenceExchange : public std::enable_shared_from_this<EvidenceExchange>
 {
 public:
-    EvidenceExchange(const boost::asio::any_io_executor &executor, const Clock &clock, QuarantineTable &quarantines,
-                     FleetMembership &membership, MeshNetwork &mesh);
+    EvidenceExchange(const boost::asio::any_io_executor &executor, const Clock &clock, QuarantineTable &quarantines, MeshNetwork &mesh);
+
+    /// Sets whether this daemon passes on what is new to it: in small fleets all do, in large ones the hubs. Thread-safe.
+    void setRelay(bool relay);
 
     /// Sends what this daemon has recorded and decided. Thread-safe.
     void publish();
@@ -41,8 +43,8 @@
     boost::asio::any_io_executor m_strand;
     const Clock &m_clock;
     QuarantineTable &m_quarantines;
-    FleetMembership &m_membership;
     MeshNetwork &m_mesh;
+    std::atomic<bool> m_relay{false};
     ContentEvidence m_relayed; ///< Accessed only on the strand.
     bool m_scheduled = false; ///< Accessed only on the strand.
 };
--- a/Source/Site/SiteDaemon.cpp
+++ b/Source/Site/SiteDaemon.cpp
@@ -13,6 +13,7 @@
 #include "Fleet/FleetMembership.h"
 #include "Fleet/FleetTable.h"
 #include "Fleet/IdleConnectionLimit.h"
+#include "Fleet/LinkPlan.h"
 #include "Fleet/QuarantineTable.h"
 #include "Fleet/RecordCodec.h"
 #include "Fleet/RecordMirror.h"
@@ -92,7 +93,7 @@
               return m_membership->owner(task, m_clock.now()) == m_membership->self().vm;
           },
           *m_metrics))
-    , m_evidence(std::make_shared<EvidenceExchange>(m_pool->executor(), m_clock, *m_quarantines, *m_membership, *m_mesh))
+    , m_evidence(std::make_shared<EvidenceExchange>(m_pool->executor(), m_clock, *m_quarantines, *m_mesh))
     , m_crashDetector(std::make_shared<CrashDetector>(
           m_pool->executor(), m_clock, [this](const CrashReport &crash) { m_quarantines->recordCrash(crash, m_clock.now()); }))
     , m_batchDispatcher(std::make_unique<BatchDispatcher>(
@@ -263,6 +264,7 @@
         for (const MemberRecord &it : m_membership->live(now)) {
             names.push_back(it.vm);
         }
+        m_evidence->setRelay(names.size() <= LinkPlan::fullMeshSize || m_membership->roster(now) != nullptr);
         m_retryBudget->setMemberCount(names.size());
         m_connectionShare->setMemberCount(names.size());
         m_fleet->setColdMembers(now < discoveryEnd ? std::vector<std::string>() : std::move(names));
--- a/Tests/Mesh/MeshTest.cpp
+++ b/Tests/Mesh/MeshTest.cpp
@@ -138,13 +138,13 @@
             received = std::move(evidence);
         };
         CPPUNIT_ASSERT(MeshCodec::decode(MeshCodec::evidence(evidence(), m_now), m_now + Milliseconds(5), handlers));
-        CPPUNIT_ASSERT_EQUAL(std::string("t1"), received.crashes.at(0).target);
+        CPPUNIT_ASSERT_EQUAL(std::string("t1"), received.crashes.at(0).address);
         CPPUNIT_ASSERT(received.crashes[0].at == m_now - Milliseconds(200) + Milliseconds(5));
         CPPUNIT_ASSERT((received.crashes[0].contents == std::vector<std::uint64_t>{1, ~std::uint64_t{0}}));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), received.responses.at(0).content);
         CPPUNIT_ASSERT(received.responses[0].at == m_now - Milliseconds(100) + Milliseconds(5));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), received.quarantines.at(0).content);
-        CPPUNIT_ASSERT(received.quarantines[0].end - received.quarantines[0].begin == Milliseconds(60'000));
+        CPPUNIT_ASSERT(received.quarantines[0].end - received.quarantines[0].lastCrash == Milliseconds(60'000));
         CPPUNIT_ASSERT_EQUAL(2U, received.quarantines[0].count);
     }
 
