Move the judgement of a request in a stop and of its content out of RelayJob

StopGuard judges one request during a planned stop, ContentGuard keeps its content from targets that it may crash and records what its attempts show. No change of behaviour.

--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -1,24 +1,18 @@
 #include "Relay/RelayJob.h"
 
 #include "Batching/StageTimes.h"
-#include "Decisions/ContentHash.h"
-#include "Decisions/Hash.h"
-#include "Decisions/StopAdmission.h"
 #include "Decisions/StopPlan.h"
-#include "Decisions/StopVerdict.h"
 #include "Fleet/Catalogue.h"
 #include "Fleet/CatalogueTable.h"
 #include "Fleet/FleetRetryBudget.h"
 #include "Fleet/FleetTable.h"
 #include "Fleet/IdleConnectionLimit.h"
-#include "Fleet/QuarantineTable.h"
 #include "Flow/DeadlineTimer.h"
 #include "Kernel/Counter.h"
 #include "Kernel/Distribution.h"
 #include "Kernel/Log.h"
 #include "Kernel/Metrics.h"
 #include "Relay/ClientPatience.h"
-#include "Relay/CrashDetector.h"
 #include "Relay/RelayAttempt.h"
 #include "Relay/ResponseSink.h"
 #include "Relay/StopSchedule.h"
@@ -51,8 +45,7 @@
 constexpr int firstByteLatencies = 3; ///< Multiple of the target's typical latency after which it is presumed faulty.
 constexpr unsigned maxSends = 8; ///< Limit on attempts that reach no target or are refused; beyond it the service is presumed overloaded.
 constexpr std::size_t maxPiecesPerStage = 1'000; ///< Limit per stage. Fills many batches, and bounds the memory one client can occupy.
-/// A target that crashes within this time after the first event has crashed when its response began.
-constexpr Milliseconds responseBeginTime{300};
+constexpr const char *quarantineReason = "requests with this content crashed targets";
 constexpr unsigned maxStageRestarts = 2; ///< Limit on reruns of the stages of one request.
 
 } // namespace
@@ -113,88 +106,19 @@
 
 bool RelayJob::admitContent()
 {
-    std::ranges::transform(m_request.sharedPromptParts, std::back_inserter(m_contents), &ContentHash::ofPart);
-    const std::string organisation = m_organisation != nullptr ? m_organisation->name : std::string();
-    const std::uint64_t seed = Hash::of(organisation, Hash::of(m_request.requestTarget, Hash::of(m_request.method)));
-    m_contents.push_back(ContentHash::ofRequest(Hash::of(m_request.body, seed)));
-    const std::optional<Clock::Duration> left = m_context.quarantines.refuseNew(m_contents, m_request.receivedAt);
+    m_content.emplace(m_context, m_request, m_organisation != nullptr ? m_organisation->name : std::string());
+    const std::optional<Milliseconds> left = m_content->refuseNew();
     if (left) {
-        setQuarantineRefusal(*left);
+        setRefusal(ResultCode::ContentQuarantined, RunState::No, quarantineReason);
+        m_refusal.retryAfter = left;
     }
     return !left;
 }
 
-void RelayJob::setQuarantineRefusal(Clock::Duration left)
-{
-    setRefusal(ResultCode::ContentQuarantined, RunState::No, "requests with this content crashed targets");
-    m_refusal.retryAfter = std::chrono::ceil<Milliseconds>(left);
-}
-
-void RelayJob::recordContent(const SelectedTarget &target, const AttemptOutcome &outcome, std::optional<Clock::TimePoint> firstEventTime)
-{
-    using Result = AttemptOutcome::Result;
-    const Clock::TimePoint now = m_context.clock.now();
-    const bool isComplete = outcome.result == Result::Responded || outcome.result == Result::Streamed;
-    if (isComplete && outcome.head.isSuccess()) {
-        m_context.quarantines.recordResponse(m_contents, now);
-    }
-    if (outcome.result != Result::NoResponse && outcome.result != Result::StreamInterrupted) {
-        return;
-    }
-    logLoss(target.id);
-    const bool hasBegun = firstEventTime && now - *firstEventTime > responseBeginTime;
-    if (!hasBegun) {
-        m_context.crashes.reportLoss(target.address, m_contents);
-    }
-}
-
-void RelayJob::logLoss(const std::string &target) const
-{
-    std::string contents;
-    for (const std::uint64_t it : m_contents) {
-        contents += (contents.empty() ? "" : ",") + Hash::hex(it);
-    }
-    const auto elapsed = std::chrono::duration_cast<Milliseconds>(m_context.clock.now() - m_attemptStart);
-    Log::info("relay", "response-lost",
-              {{"id", m_request.id},
-               {"target", target},
-               {"sent_before_ms", std::to_string(elapsed.count())},
-               {"begun", m_progress.started ? "yes" : "no"},
-               {"contents", std::move(contents)}});
-}
-
-StopVerdict RelayJob::judgeForStop(const StopPlan &stop, RouteDurations::Span span) const
-{
-    const Clock::TimePoint now = m_context.clock.now();
-    const auto expected = m_context.routeDurations.upperBound(m_route->name, span, now);
-    return StopAdmission::decide(stop, {span == RouteDurations::Span::Request ? now : m_request.receivedAt, m_deadline, expected}, now);
-}
-
 bool RelayJob::admitDuringStop()
 {
-    const std::optional<StopPlan> stop = m_context.stopSchedule.plan();
-    if (!stop) {
-        return true;
-    }
-    const Clock::TimePoint now = m_context.clock.now();
-    const auto expected = m_context.routeDurations.upperBound(m_route->name, RouteDurations::Span::Request, now);
-    // In the order of StopVerdict.
-    static constexpr std::array<std::string_view, 3> verdicts{"certain", "expected", "refused"};
-    const StopVerdict verdict = judgeForStop(*stop, RouteDurations::Span::Request);
-    const std::string name(verdicts.at(static_cast<std::size_t>(verdict)));
-    const auto text = [](Clock::Duration duration) {
-        return std::to_string(std::chrono::duration_cast<Milliseconds>(duration).count());
-    };
-    m_context.metrics.counter("stop_admissions_total{verdict=\"" + name + "\"}").add();
-    Log::info("relay", "stop-admission",
-              {{"id", m_request.id},
-               {"verdict", name},
-               {"route", m_route->name},
-               {"since_stop_ms", text(now - stop->begin)},
-               {"left_ms", text(stop->end - now)},
-               {"expected_ms", expected ? text(*expected) : ""},
-               {"deadline_in_ms", text(m_deadline - now)}});
-    if (verdict != StopVerdict::Refused) {
+    m_stopGuard.emplace(m_context, m_request, m_route->name, m_deadline);
+    if (m_stopGuard->admits()) {
         return true;
     }
     setRefusal(ResultCode::Draining, RunState::No, "the daemon is shutting down and may not complete the request in time");
@@ -202,13 +126,6 @@
     return false;
 }
 
-bool RelayJob::outlastsStop() const
-{
-    const std::optional<StopPlan> stop = m_context.stopSchedule.plan();
-    const bool isKnown = stop && m_context.routeDurations.upperBound(m_route->name, RouteDurations::Span::Run, m_context.clock.now());
-    return isKnown && !m_progress.started && judgeForStop(*stop, RouteDurations::Span::Run) == StopVerdict::Refused;
-}
-
 Milliseconds RelayJob::elapsedTime() const
 {
     return std::chrono::duration_cast<Milliseconds>(m_context.clock.now() - m_request.receivedAt);
@@ -332,11 +249,11 @@
     Asio::steady_timer timer(m_cancellation.strand());
     Reason reason;
     while (!m_cancellation.cause()) {
-        if (outlastsStop()) {
+        if (!m_progress.started && m_stopGuard->outlastsStop()) {
             m_cancellation.cancel(RefusalCause::StopTimeout);
             break;
         }
-        if (m_context.quarantines.refuseSend(m_contents, m_context.clock.now())) {
+        if (m_content->refuseSend()) {
             break;
         }
         std::optional<SelectedTarget> target = m_context.fleet.choose(requirements(), *m_service, m_context.clock.now(), reason);
@@ -388,9 +305,9 @@
             AttemptOutcome noOutcome;
             co_return co_await onCancelled(noOutcome);
         }
-        if (const auto left = m_context.quarantines.refuseSend(m_contents, m_context.clock.now())) {
-            m_refusal.retryAfter = std::chrono::ceil<Milliseconds>(*left);
-            co_await refuse(ResultCode::ContentQuarantined, "requests with this content crashed targets");
+        if (const std::optional<Milliseconds> left = m_content->refuseSend()) {
+            m_refusal.retryAfter = left;
+            co_await refuse(ResultCode::ContentQuarantined, quarantineReason);
             co_return NextStep::Done;
         }
         m_refusal.retryAfter = shortRetryAfter;
@@ -433,7 +350,7 @@
         timer.setComplete();
         m_timer->setComplete();
     }
-    recordContent(*target, outcome, attempt.firstEventTime());
+    m_content->recordAttempt(*target, outcome, m_attemptStart, attempt.firstEventTime());
     m_context.fleet.recordResponseStart(target->id, m_request.promptTokens);
     m_context.fleet.recordAttempt(target->id, attempt.report(), m_service->coldStartTime, m_context.clock.now());
     // In the order of AttemptOutcome::Result.
@@ -447,8 +364,7 @@
 bool RelayJob::acquireRetry()
 {
     const bool permitted = m_route->retryable() && m_possibleExecutions < m_route->maxAttempts && remainingTime() > responseMargin;
-    return permitted && !m_context.quarantines.refusesRepeats(m_contents)
-        && m_context.retryBudget.tryAcquire(m_service->name, m_context.clock.now());
+    return permitted && !m_content->refusesRepeats() && m_context.retryBudget.tryAcquire(m_service->name, m_context.clock.now());
 }
 
 Asio::awaitable<RelayJob::NextStep> RelayJob::onResponse(AttemptOutcome &outcome)
--- a/Source/Relay/RelayJob.h
+++ b/Source/Relay/RelayJob.h
@@ -5,9 +5,11 @@
 #include "Flow/Cancellation.h"
 #include "Kernel/Refusal.h"
 #include "Relay/AttemptOutcome.h"
+#include "Relay/ContentGuard.h"
 #include "Relay/OpaqueRequest.h"
 #include "Relay/RelayContext.h"
 #include "Relay/RouteTimer.h"
+#include "Relay/StopGuard.h"
 #include "Relay/StreamProgress.h"
 #include "Relay/UpstreamParameters.h"
 
@@ -17,18 +19,15 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <vector>
 
 namespace Guavalock
 {
 
-enum class StopVerdict;
 class ResponseSink;
 class Catalogue;
 struct OrganisationRecord;
 struct RouteRecord;
 struct ServiceRecord;
-struct StopPlan;
 struct SelectedTarget;
 
 /// Processes one opaque request: routing, stages, attempts at targets, retries and refusals. Runs on the request's strand.
@@ -54,16 +53,8 @@
     bool admit();
     /// Returns whether the request can be accepted although the daemon may be stopping. Sets a refusal if not.
     bool admitDuringStop();
-    StopVerdict judgeForStop(const StopPlan &stop, RouteDurations::Span span) const;
-    /// Returns whether a run that began now would outlast a planned stop.
-    bool outlastsStop() const;
     /// Returns whether the request's content is not in quarantine. Sets a refusal if it is.
     bool admitContent();
-    void setQuarantineRefusal(Clock::Duration left);
-    /// Logs a response that a target did not complete, with the hashes of the request's content.
-    void logLoss(const std::string &target) const;
-    /// Records what an attempt shows about the request's content.
-    void recordContent(const SelectedTarget &target, const AttemptOutcome &outcome, std::optional<Clock::TimePoint> firstEventTime);
     /// Sets the refusal to send. Returns false, so that admit() can return its result.
     bool setRefusal(ResultCode code, RunState run, std::string reason);
     void startStages();
@@ -106,7 +97,8 @@
     const RouteRecord *m_route = nullptr;
     const ServiceRecord *m_service = nullptr;
     const OrganisationRecord *m_organisation = nullptr;
-    std::vector<std::uint64_t> m_contents; ///< Hashes of the shared prompt parts and of the whole request.
+    std::optional<ContentGuard> m_content;
+    std::optional<StopGuard> m_stopGuard;
     unsigned m_rank = 0;
     Clock::TimePoint m_deadline;
     Clock::TimePoint m_objectiveDeadline; ///< Receipt of the request plus the route's latency objective.
