--- a/Source/Relay/CrashDetector.cpp
+++ b/Source/Relay/CrashDetector.cpp
@@ -51,8 +51,7 @@
     const std::scoped_lock lock(m_mutex);
     CrashReport report = std::move(m_losses.extract(address).mapped());
     std::ranges::sort(report.contents);
-    const auto duplicates = std::ranges::unique(report.contents);
-    report.contents.erase(duplicates.begin(), duplicates.end());
+    report.contents.erase(std::unique(report.contents.begin(), report.contents.end()), report.contents.end());
     return report;
 }
 
--- a/Tests/Decisions/CrashLedgerTest.cpp
+++ b/Tests/Decisions/CrashLedgerTest.cpp
@@ -111,7 +111,7 @@
                 lost.insert(lost.end(), {20 + random() % 8, ++unique});
             }
             std::ranges::sort(lost);
-            lost.erase(std::ranges::unique(lost).begin(), lost.end());
+            lost.erase(std::unique(lost.begin(), lost.end()), lost.end());
             crash(ledger, "t" + std::to_string(crashes), lost, now);
         }
         CPPUNIT_ASSERT(crashes <= 4);
