--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -10,10 +10,11 @@
 #include "Flow/DeadlineTimer.h"
 #include "Kernel/Counter.h"
 #include "Kernel/Distribution.h"
-#include "Kernel/Log.h"
 #include "Kernel/Metrics.h"
 #include "Relay/ClientPatience.h"
 #include "Relay/RelayAttempt.h"
+#include "Relay/RelayLog.h"
+#include "Relay/RequestRoute.h"
 #include "Relay/ResponseSink.h"
 #include "Relay/StopSchedule.h"
 #include "Relay/UnansweredRequests.h"
@@ -44,7 +45,6 @@
 constexpr std::uint64_t bytesPerPromptToken = 2'800;
 constexpr int firstByteLatencies = 3; ///< Multiple of the target's typical latency after which it is presumed faulty.
 constexpr unsigned maxSends = 8; ///< Limit on attempts that reach no target or are refused; beyond it the service is presumed overloaded.
-constexpr std::size_t maxPiecesPerStage = 1'000; ///< Limit per stage. Fills many batches, and bounds the memory one client can occupy.
 constexpr const char *quarantineReason = "requests with this content crashed targets";
 constexpr unsigned maxStageRestarts = 2; ///< Limit on reruns of the stages of one request.
 
@@ -74,39 +74,29 @@
         m_refusal.retryAfter = shortRetryAfter;
         return false;
     }
-    m_route = m_catalogue->route(m_request.host, m_request.path());
-    if (m_route == nullptr) {
-        return setRefusal(ResultCode::UnknownPath, RunState::No, "no route matches this host and path");
-    }
-    if (m_catalogue->hasOrganisations() && !m_route->allowsAnonymous) {
-        m_organisation = m_catalogue->organisation(m_request.apiKey);
-        if (m_organisation == nullptr) {
-            return setRefusal(ResultCode::NotAuthorised, RunState::No, "the API key does not belong to any organisation");
-        }
-    }
-    const std::string &service = m_catalogue->serviceFor(*m_route, m_request.id);
-    m_service = m_catalogue->service(service);
-    if (m_service == nullptr) {
-        return setRefusal(ResultCode::NoTarget, RunState::No, "service " + service + " of the route is not configured");
-    }
-    if (std::ranges::any_of(m_request.pieceCounts, [](std::size_t it) { return it > maxPiecesPerStage; })) {
-        return setRefusal(ResultCode::MalformedRequest, RunState::No,
-                          "a stage has more than " + std::to_string(maxPiecesPerStage) + " pieces");
+    RequestRoute found;
+    if (std::optional<Refusal> refusal = found.find(*m_catalogue, m_request)) {
+        m_route = found.route;
+        m_refusal = std::move(*refusal);
+        return false;
     }
+    m_route = found.route;
+    m_service = found.service;
+    m_organisation = found.organisationName();
+    m_rank = found.rank();
     const Milliseconds timeout = std::min(m_route->timeout, m_request.deadline.value_or(m_route->timeout));
     m_deadline = m_request.receivedAt + timeout;
     if (!admitDuringStop() || !admitContent()) {
         return false;
     }
-    m_rank = m_organisation != nullptr && m_organisation->rank ? *m_organisation->rank : m_route->rank;
     m_objectiveDeadline = m_request.receivedAt + m_route->latencyObjective;
-    m_context.retryBudget.recordRequest(service, m_request.receivedAt);
+    m_context.retryBudget.recordRequest(m_service->name, m_request.receivedAt);
     return true;
 }
 
 bool RelayJob::admitContent()
 {
-    m_content.emplace(m_context, m_request, m_organisation != nullptr ? m_organisation->name : std::string());
+    m_content.emplace(m_context, m_request, m_organisation);
     const std::optional<Milliseconds> left = m_content->refuseNew();
     if (left) {
         setRefusal(ResultCode::ContentQuarantined, RunState::No, quarantineReason);
@@ -275,7 +265,7 @@
     UpstreamParameters parameters;
     parameters.targetId = target.id;
     parameters.remainingTime = remainingTime();
-    parameters.organisation = m_organisation != nullptr ? m_organisation->name : std::string();
+    parameters.organisation = m_organisation;
     if (m_route->promptAffinity) {
         parameters.rank = m_rank;
     }
@@ -511,35 +501,28 @@
 void RelayJob::recordRetry(std::string_view cause) const
 {
     m_context.metrics.counter("repeats_total{cause=\"" + std::string(cause) + "\"}").add();
-    Log::info("relay", "repeat",
-              {{"id", m_request.id},
-               {"cause", std::string(cause)},
-               {"target", m_lastTarget},
-               {"sends", std::to_string(m_sends)},
-               {"left_ms", std::to_string(remainingTime().count())}});
+    RelayLog::logRepeat(m_request.id, cause, m_lastTarget, m_sends, remainingTime());
 }
 
 void RelayJob::logCompletion(std::string_view outcome, unsigned status) const
 {
-    const Milliseconds elapsed = elapsedTime();
-    const auto text = [](const std::optional<Milliseconds> &time) {
-        return time ? std::to_string(time->count()) : std::string();
-    };
-    m_context.metrics.distribution("request_seconds").observe(elapsed);
-    Log::info("relay", "request",
-              {{"id", m_request.id},
-               {"outcome", std::string(outcome)},
-               {"status", std::to_string(status)},
-               {"code", std::string(outcome == "refused" ? resultCodeInfo(m_refusal.code).name : "")},
-               {"reason", outcome == "refused" ? m_refusal.reason : ""},
-               {"route", m_route != nullptr ? m_route->name : ""},
-               {"configuration", m_catalogue ? std::to_string(m_catalogue->version()) : "none"},
-               {"target", m_lastTarget},
-               {"sends", std::to_string(m_sends)},
-               {"stages_ms", text(m_stagesDuration)},
-               {"first_event_ms", text(m_timeToFirstEvent)},
-               {"objective_ms", m_route != nullptr ? std::to_string(m_route->latencyObjective.count()) : ""},
-               {"took_ms", std::to_string(elapsed.count())}});
+    RelayLog::Completion completion;
+    completion.id = m_request.id;
+    completion.outcome = outcome;
+    completion.status = status;
+    completion.refusal = m_refusal;
+    completion.configuration = m_catalogue ? std::to_string(m_catalogue->version()) : "none";
+    completion.target = m_lastTarget;
+    completion.sends = m_sends;
+    completion.stagesDuration = m_stagesDuration;
+    completion.timeToFirstEvent = m_timeToFirstEvent;
+    completion.elapsed = elapsedTime();
+    if (m_route != nullptr) {
+        completion.route = m_route->name;
+        completion.objective = m_route->latencyObjective;
+    }
+    m_context.metrics.distribution("request_seconds").observe(completion.elapsed);
+    RelayLog::logCompletion(completion);
 }
 
 } // namespace Guavalock
--- a/Source/Relay/RelayJob.h
+++ b/Source/Relay/RelayJob.h
@@ -25,7 +25,6 @@
 
 class ResponseSink;
 class Catalogue;
-struct OrganisationRecord;
 struct RouteRecord;
 struct ServiceRecord;
 struct SelectedTarget;
@@ -96,7 +95,7 @@
     std::shared_ptr<const Catalogue> m_catalogue;
     const RouteRecord *m_route = nullptr;
     const ServiceRecord *m_service = nullptr;
-    const OrganisationRecord *m_organisation = nullptr;
+    std::string m_organisation; ///< Empty for anonymous requests.
     std::optional<ContentGuard> m_content;
     std::optional<StopGuard> m_stopGuard;
     unsigned m_rank = 0;
