Leave out targets that say they leave, and those that ask for a pause

What callers would see: a target that shuts down says so in its answers, and one that turns requests away says for how long, but daemons went on sending to both: until the store's record said so in the first case, and at once in the second. Requests that such a target refuses cost retries and time, and those that it still accepts may be cut off when it ends.

The headers Server-Leaving and Retry-After are decoded in platform/ into an AvailabilityStatement. Only responses that can be attributed to their request count, and they count when the head arrives, because a stream is forwarded from then on. TargetAvailability decides what the statements mean: leaving lasts until a record shows a later start of the target, and outlives the removal of its record; the longest pause counts. Malformed values are logged, and pauses are limited to ten minutes. Both headers are forwarded to clients as before.

When the statements of all targets of a service rule out an attempt within the objective, the request is refused at once. Its Retry-After is the end of the first pause, spread over half a second, or 400 ms if all targets leave.

The statement is recorded when the head arrives, not with the report of the attempt, so AttemptReport is unchanged.

Before the headers were decoded and applied, these tests failed: three of TargetAvailabilityTest, four new ones of FleetTest, two new ones of RelayCodecTest and four of LeavingTargetsTest. Two others of LeavingTargetsTest passed before and guard against refusing too much: responsesOfOtherRequestsProveNothing and requestsWaitForAShortPause.

--- a/Fakes/FakeFleetTarget.cpp
+++ b/Fakes/FakeFleetTarget.cpp
@@ -34,6 +34,7 @@
 constexpr const char *promptPartsHeader = "X-Guavalock-Prefix-Hash";
 constexpr const char *lastEventIdHeader = "Last-Event-Id";
 constexpr const char *inputCountHeader = "X-Guavalock-Input-Count";
+constexpr const char *leavingHeader = "Server-Leaving";
 constexpr int eventsPerStream = 5;
 constexpr std::size_t endlessBytes = 4'096; ///< Written at a time by endless responses.
 
@@ -156,6 +157,37 @@
     m_serviceTime = serviceTime;
 }
 
+void FakeFleetTarget::setLeaving(bool leaving)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_leaving = leaving;
+}
+
+void FakeFleetTarget::setPause(std::chrono::milliseconds pause)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_pause = pause;
+}
+
+FakeServer::Response FakeFleetTarget::withStatement(FakeServer::Response response) const
+{
+    const std::scoped_lock lock(m_mutex);
+    if (m_leaving) {
+        response.set(leavingHeader, "1");
+    }
+    return response;
+}
+
+Asio::awaitable<bool> FakeFleetTarget::refuseForPause(FakeServer::Socket &socket, const FakeServer::Request &request,
+                                                      std::chrono::milliseconds pause) const
+{
+    FakeServer::Response refusal = withStatement(FakeServer::jsonResponse(503, "{}"));
+    refusal.set(attemptIdHeader, request[attemptIdHeader]);
+    refusal.set(notExecutedHeader, "1");
+    refusal.set("Retry-After", std::to_string(std::chrono::duration<double>(pause).count()));
+    co_return co_await FakeServer::send(socket, std::move(refusal));
+}
+
 std::map<std::string, std::size_t> FakeFleetTarget::runs() const
 {
     const std::scoped_lock lock(m_mutex);
@@ -237,13 +269,15 @@
     FakeServer::Response response = FakeServer::jsonResponse(status, std::move(body));
     response.set(attemptIdHeader, request[attemptIdHeader]);
     response.set(signatureHeader, m_id + ".1");
-    return response;
+    return withStatement(std::move(response));
 }
 
 Asio::awaitable<bool> FakeFleetTarget::handle(FakeServer::Socket &socket, FakeServer::Request request)
 {
+    std::chrono::milliseconds pause{0};
     {
         const std::scoped_lock lock(m_mutex);
+        pause = m_pause;
         ++m_requestCount;
         std::ostringstream text;
         text << request.base();
@@ -253,6 +287,9 @@
     if (!expectedInstance.empty() && std::string_view(expectedInstance.data(), expectedInstance.size()) != m_id) {
         co_return co_await FakeServer::send(socket, FakeServer::jsonResponse(421, "{}"));
     }
+    if (pause > std::chrono::milliseconds(0)) {
+        co_return co_await refuseForPause(socket, request, pause);
+    }
     if (request.target() == "/stage-run") {
         co_return co_await handleBatch(socket, request);
     }
@@ -299,7 +336,7 @@
 
 Asio::awaitable<bool> FakeFleetTarget::refuse(FakeServer::Socket &socket, const FakeServer::Request &request, Fault fault)
 {
-    FakeServer::Response refusal = FakeServer::jsonResponse(503, "{}");
+    FakeServer::Response refusal = withStatement(FakeServer::jsonResponse(503, "{}"));
     refusal.set(notExecutedHeader, "1");
     if (fault == Fault::RefuseById) {
         refusal.set(attemptIdHeader, request[attemptIdHeader]);
@@ -325,8 +362,13 @@
 
 std::string FakeFleetTarget::responseHead(const FakeServer::Request &request, const std::string &framing) const
 {
-    return "HTTP/1.1 200 OK\r\n" + framing + std::string(attemptIdHeader) + ": " + std::string(request[attemptIdHeader]) + "\r\n"
-        + signatureHeader + ": " + m_id + "\r\n\r\n";
+    std::string statement;
+    {
+        const std::scoped_lock lock(m_mutex);
+        statement = m_leaving ? std::string(leavingHeader) + ": 1\r\n" : "";
+    }
+    return "HTTP/1.1 200 OK\r\n" + framing + statement + std::string(attemptIdHeader) + ": " + std::string(request[attemptIdHeader])
+        + "\r\n" + signatureHeader + ": " + m_id + "\r\n\r\n";
 }
 
 std::string FakeFleetTarget::eventText(const FakeServer::Request &request, int number) const
@@ -384,7 +426,7 @@
         co_await repeatLastResponse(socket);
     }
     releaseResults(request);
-    co_return co_await FakeServer::send(socket, FakeServer::jsonResponse(200, "{}"));
+    co_return co_await FakeServer::send(socket, withStatement(FakeServer::jsonResponse(200, "{}")));
 }
 
 void FakeFleetTarget::releaseResults(const FakeServer::Request &request)
@@ -529,7 +571,7 @@
     if (fault == Fault::Repeat) {
         co_await repeatLastResponse(socket);
     }
-    const FakeServer::Response response = FakeServer::jsonResponse(200, Json::serialize(reply));
+    const FakeServer::Response response = withStatement(FakeServer::jsonResponse(200, Json::serialize(reply)));
     m_lastResponses[peerPort(socket)] = response;
     co_return co_await FakeServer::send(socket, response);
 }
--- a/Fakes/FakeFleetTarget.h
+++ b/Fakes/FakeFleetTarget.h
@@ -76,6 +76,12 @@
     /// Sets the number of bytes after which Fault::CutHead cuts a response. Thread-safe.
     void setHeadLength(std::size_t bytes);
 
+    /// Makes the target state in every response that it leaves, or no longer. Thread-safe.
+    void setLeaving(bool leaving);
+
+    /// Makes the target refuse requests and batches, stating that it wants none for the given time; zero ends the refusals. Thread-safe.
+    void setPause(std::chrono::milliseconds pause);
+
     /// Sets the service time of a request or batch. Thread-safe.
     void setServiceTime(std::chrono::milliseconds serviceTime);
 
@@ -108,6 +114,10 @@
     boost::asio::awaitable<bool> handleBatch(FakeServer::Socket &socket, const FakeServer::Request &request);
     boost::asio::awaitable<bool> handleFree(FakeServer::Socket &socket, const FakeServer::Request &request);
     void releaseResults(const FakeServer::Request &request);
+    boost::asio::awaitable<bool> refuseForPause(FakeServer::Socket &socket, const FakeServer::Request &request,
+                                                std::chrono::milliseconds pause) const;
+    /// Adds the header of a target that leaves.
+    FakeServer::Response withStatement(FakeServer::Response response) const;
     boost::asio::awaitable<bool> refuse(FakeServer::Socket &socket, const FakeServer::Request &request, Fault fault);
     boost::asio::awaitable<void> repeatLastResponse(FakeServer::Socket &socket);
     /// Sends a complete response instead of a stream or a regular response.
@@ -147,6 +157,8 @@
     std::deque<Fault> m_freeFaults;
     std::size_t m_headLength = 0;
     std::chrono::milliseconds m_serviceTime{2};
+    std::chrono::milliseconds m_pause{0};
+    bool m_leaving = false;
     std::size_t m_maxBatchSize = 0;
     std::size_t m_batchCount = 0;
     std::size_t m_requestCount = 0;
--- a/Source/Batching/StageCodec.h
+++ b/Source/Batching/StageCodec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Batching/Piece.h"
+#include "Decisions/AvailabilityStatement.h"
 #include "Settings/Endpoint.h"
 
 #include <optional>
@@ -38,6 +39,10 @@
     /// Returns the outcome of each piece in request order, or nothing when the response is malformed.
     virtual std::optional<std::vector<PieceResponse>> parseBatchResponse(const std::string &body, std::size_t pieceCount) const = 0;
 
+    /// Returns what a target states about further calls in the headers of any response.
+    virtual AvailabilityStatement parseAvailability(unsigned status,
+                                                    const std::vector<std::pair<std::string, std::string>> &headers) const = 0;
+
     virtual std::string freePath() const = 0;
     virtual std::string encodeFree(const std::vector<std::string> &handles) const = 0;
 
--- /dev/null
+++ b/Source/Decisions/TargetAvailability.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "Kernel/Clock.h"
+
+#include <chrono>
+#include <optional>
+
+namespace Guavalock
+{
+
+struct AvailabilityStatement;
+
+/// Decides from a target's own statements whether it may be sent requests.
+///
+/// Statements apply to one incarnation of the target, identified by its start time. An incarnation that leaves never becomes available
+/// again.
+class TargetAvailability
+{
+public:
+    enum class State {
+        Available,
+        Paused,
+        Leaving,
+    };
+
+    explicit TargetAvailability(std::chrono::milliseconds startTime);
+
+    /// Discards all statements if the target has been restarted since. Earlier start times are ignored.
+    void setStartTime(std::chrono::milliseconds startTime);
+
+    /// Applies a statement made by the incarnation with the given start time. Returns whether the target begins to leave, or a pause begins
+    /// or is extended. Statements of other incarnations have no effect.
+    bool apply(const AvailabilityStatement &statement, std::chrono::milliseconds startTime, Clock::TimePoint now);
+
+    bool hasStatements() const;
+
+    State state(Clock::TimePoint now) const;
+
+    /// Returns the remaining time of a pause, or nothing if the target is not paused.
+    std::optional<Clock::Duration> remainingPause(Clock::TimePoint now) const;
+
+private:
+    std::chrono::milliseconds m_startTime;
+    bool m_leaving = false;
+    Clock::TimePoint m_pausedUntil = Clock::TimePoint::min();
+};
+
+} // namespace Guavalock
--- /dev/null
+++ b/Source/Fleet/AvailabilityRecorder.cpp
@@ -0,0 +1,33 @@
+#include "Fleet/AvailabilityRecorder.h"
+
+#include "Decisions/AvailabilityStatement.h"
+#include "Fleet/FleetTable.h"
+#include "Kernel/Counter.h"
+#include "Kernel/Log.h"
+#include "Kernel/Metrics.h"
+
+namespace Guavalock
+{
+
+AvailabilityRecorder::AvailabilityRecorder(FleetTable &fleet, Metrics &metrics)
+    : m_fleet(fleet)
+    , m_metrics(metrics)
+{
+}
+
+void AvailabilityRecorder::record(const SelectedTarget &target, const AvailabilityStatement &statement, std::string_view source,
+                                  Clock::TimePoint now) const
+{
+    if (statement.isEmpty() || !m_fleet.recordStatement(target, statement, now)) {
+        return;
+    }
+    const std::string name = statement.leaves ? "leaving" : "paused";
+    m_metrics.counter("target_statements_total{statement=\"" + name + "\"}").add();
+    Log::info("fleet", "target-" + name,
+              {{"target", target.id},
+               {"service", target.service},
+               {"source", std::string(source)},
+               {"pause_ms", statement.pause ? std::to_string(statement.pause->count()) : ""}});
+}
+
+} // namespace Guavalock
--- a/Source/Fleet/FleetTable.cpp
+++ b/Source/Fleet/FleetTable.cpp
@@ -1,6 +1,7 @@
 #include "Fleet/FleetTable.h"
 #include "Fleet/ColdTargetQuota.h"
 
+#include "Decisions/AvailabilityStatement.h"
 #include "Decisions/Hash.h"
 #include "Fleet/ServiceRecord.h"
 #include "Fleet/TargetChooser.h"
@@ -15,6 +16,7 @@
 {
 
 constexpr std::chrono::seconds defaultColdTime{3}; ///< Cold-start time used where the value configured for the service is not available.
+constexpr std::size_t maxUnlisted = 1'024; ///< Targets without a record whose statements are remembered.
 
 } // namespace
 
@@ -32,7 +34,11 @@
     const std::scoped_lock lock(m_mutex);
     const auto it = m_targets.find(record.id);
     if (it == m_targets.end()) {
-        m_targets.emplace(record.id, FleetTarget(record, offset, now));
+        FleetTarget &target = m_targets.emplace(record.id, FleetTarget(record, offset, now)).first->second;
+        if (const auto unlisted = m_unlisted.find(record.id); unlisted != m_unlisted.end()) {
+            target.availability() = unlisted->second;
+            target.availability().setStartTime(record.startTime);
+        }
         return true;
     }
     if (offset <= it->second.offset()) {
@@ -51,6 +57,9 @@
     if (it == m_targets.end() || offset < it->second.offset()) {
         return false;
     }
+    if (it->second.availability().hasStatements()) {
+        unlistedAvailability(id, it->second.record().startTime) = it->second.availability();
+    }
     m_targets.erase(it);
     m_coldQuotas.erase(id);
     return true;
@@ -98,7 +107,52 @@
     }
 }
 
-bool FleetTable::acceptsWork(const FleetTarget &target) const
+TargetAvailability &FleetTable::unlistedAvailability(const std::string &id, std::chrono::milliseconds startTime)
+{
+    const auto [it, added] = m_unlisted.try_emplace(id, startTime);
+    if (added) {
+        m_unlistedOrder.push_back(id);
+    }
+    if (m_unlistedOrder.size() > maxUnlisted) {
+        m_unlisted.erase(m_unlistedOrder.front());
+        m_unlistedOrder.pop_front();
+    }
+    return it->second;
+}
+
+bool FleetTable::recordStatement(const SelectedTarget &target, const AvailabilityStatement &statement, Clock::TimePoint now)
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto it = m_targets.find(target.id);
+    TargetAvailability &availability
+        = it == m_targets.end() ? unlistedAvailability(target.id, target.startTime) : it->second.availability();
+    return availability.apply(statement, target.startTime, now);
+}
+
+std::optional<Clock::Duration> FleetTable::timeUntilAvailable(const std::string &service, Clock::TimePoint now) const
+{
+    const std::scoped_lock lock(m_mutex);
+    std::optional<Clock::Duration> time;
+    for (const auto &[id, target] : m_targets) {
+        const TargetAvailability::State state = target.availability().state(now);
+        if (target.record().service != service || (state != TargetAvailability::State::Leaving && !isInService(target))) {
+            continue;
+        }
+        if (state == TargetAvailability::State::Available) {
+            return std::nullopt;
+        }
+        const Clock::Duration left = target.availability().remainingPause(now).value_or(Clock::Duration::max());
+        time = std::min(time.value_or(left), left);
+    }
+    return time;
+}
+
+bool FleetTable::acceptsWork(const FleetTarget &target, Clock::TimePoint now) const
+{
+    return isInService(target) && target.availability().state(now) == TargetAvailability::State::Available;
+}
+
+bool FleetTable::isInService(const FleetTarget &target) const
 {
     return !target.record().draining && !m_evacuated.contains(target.record().dataCentre);
 }
@@ -128,7 +182,7 @@
             continue;
         }
         ++known;
-        if (!acceptsWork(target) || !withinColdRate(target, service, now)) {
+        if (!acceptsWork(target, now) || !withinColdRate(target, service, now)) {
             continue;
         }
         std::vector<FleetTarget *> &group = requirements.triedTargets.contains(id) ? tried : target.isSuspect(now) ? suspects : found;
@@ -162,7 +216,7 @@
     }
     target->recordRequest(requirements.promptTokens, now);
     const TargetRecord &record = target->record();
-    return SelectedTarget{record.id, record.address, record.dataCentre, requirements.service, target->typicalLatency()};
+    return SelectedTarget{record.id, record.address, record.dataCentre, requirements.service, target->typicalLatency(), record.startTime};
 }
 
 std::string FleetTable::predictDataCentre(const TargetRequirements &requirements, const ServiceRecord &service, Clock::TimePoint now)
@@ -196,13 +250,13 @@
     std::vector<SelectedTarget> missing;
     for (const auto &[id, target] : m_targets) {
         const TargetRecord &record = target.record();
-        if (record.service != service || !acceptsWork(target)) {
+        if (record.service != service || !acceptsWork(target, now)) {
             continue;
         }
         if (!target.isSuspect(now)) {
-            found.push_back({id, record.address, record.dataCentre, service});
+            found.push_back({id, record.address, record.dataCentre, service, {}, record.startTime});
         } else if (target.isMissing(now)) {
-            missing.push_back({id, record.address, record.dataCentre, service});
+            missing.push_back({id, record.address, record.dataCentre, service, {}, record.startTime});
         }
     }
     return found.empty() ? missing : found;
@@ -215,7 +269,8 @@
     if (it == m_targets.end()) {
         return std::nullopt;
     }
-    return SelectedTarget{it->first, address, it->second.record().dataCentre, it->second.record().service};
+    const TargetRecord &record = it->second.record();
+    return SelectedTarget{record.id, address, record.dataCentre, record.service, {}, record.startTime};
 }
 
 std::size_t FleetTable::size() const
--- a/Source/Fleet/FleetTable.h
+++ b/Source/Fleet/FleetTable.h
@@ -7,6 +7,7 @@
 #include "Kernel/RankedMutex.h"
 #include "Kernel/Reason.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -18,6 +19,7 @@
 {
 
 class TargetChooser;
+struct AvailabilityStatement;
 struct ServiceRecord;
 
 /// The targets known to this daemon, with their availability and load. Lock rank: Targets.
@@ -60,6 +62,14 @@
     /// Applies the outcome of an attempt. After a connection failure the target counts as cold for the given time.
     void recordAttempt(const std::string &id, const AttemptReport &report, Clock::Duration coldTime, Clock::TimePoint now);
 
+    /// Records what a target states about further requests. Returns whether its availability changes. Unlike records and reports,
+    /// statements outlive the target's record, so that a record that is read again does not bring a leaving target back.
+    bool recordStatement(const SelectedTarget &target, const AvailabilityStatement &statement, Clock::TimePoint now);
+
+    /// Returns whether the targets of a service take no requests because of their own statements: the time until the first pause ends, or
+    /// the maximum duration if all targets leave. Returns nothing if a target may become available for another reason.
+    std::optional<Clock::Duration> timeUntilAvailable(const std::string &service, Clock::TimePoint now) const;
+
     /// Returns the targets of a stage service that can be sent a batch. Targets with a missing record are returned only if there are no
     /// others.
     std::vector<SelectedTarget> availableTargets(const std::string &service, Clock::TimePoint now);
@@ -73,8 +83,15 @@
     /// Selects a target without counting a request. The lock must be held.
     FleetTarget *selectTarget(const TargetRequirements &requirements, const ServiceRecord &service, Clock::TimePoint now, Reason &reason);
 
-    /// Returns whether the target accepts work: neither the target is draining nor its data centre evacuated.
-    bool acceptsWork(const FleetTarget &target) const;
+    /// Returns whether the target accepts work: the target neither is draining nor has stated that it leaves or wants a pause, and its data
+    /// centre is not evacuated.
+    bool acceptsWork(const FleetTarget &target, Clock::TimePoint now) const;
+
+    /// Returns whether records let the target be used: neither the target is draining nor its data centre evacuated.
+    bool isInService(const FleetTarget &target) const;
+
+    /// Returns the remembered availability of a target without a record.
+    TargetAvailability &unlistedAvailability(const std::string &id, std::chrono::milliseconds startTime);
 
     /// Returns whether this daemon may send the target one more request within its share of the cold request rate. Always true for warm
     /// targets.
@@ -89,6 +106,8 @@
     std::string m_vm;
     mutable RankedMutex m_mutex{LockRank::Targets};
     std::map<std::string, FleetTarget> m_targets;
+    std::map<std::string, TargetAvailability> m_unlisted; ///< Statements of targets whose record was removed.
+    std::deque<std::string> m_unlistedOrder; ///< Keys of the above, oldest first.
     std::set<std::string> m_evacuated;
     std::vector<std::string> m_coldMembers;
     mutable std::map<std::string, ColdQuota> m_coldQuotas; ///< By target, for the current members.
--- a/Source/Fleet/FleetTarget.cpp
+++ b/Source/Fleet/FleetTarget.cpp
@@ -25,6 +25,7 @@
 
 FleetTarget::FleetTarget(TargetRecord record, std::uint64_t offset, Clock::TimePoint now)
     : m_record(std::move(record))
+    , m_availability(m_record.startTime)
     , m_offset(offset)
     , m_loadTime(now)
     , m_coldUntil(now + m_record.coldRemaining)
@@ -41,6 +42,7 @@
         m_consecutiveFailures = 0;
         m_remoteLoad = 0;
     }
+    m_availability.setStartTime(record.startTime);
     // The record may have been written before the failure that made the target count as cold, so a warm record does not shorten that
     // time.
     m_coldUntil = std::max(m_coldUntil, now + record.coldRemaining);
@@ -150,6 +152,16 @@
     return m_recentRequests.count(now);
 }
 
+TargetAvailability &FleetTarget::availability()
+{
+    return m_availability;
+}
+
+const TargetAvailability &FleetTarget::availability() const
+{
+    return m_availability;
+}
+
 const TargetRecord &FleetTarget::record() const
 {
     return m_record;
--- a/Source/Fleet/FleetTarget.h
+++ b/Source/Fleet/FleetTarget.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Decisions/TargetAvailability.h"
 #include "Fleet/AttemptReport.h"
 #include "Fleet/SlidingWindowCounter.h"
 #include "Fleet/TargetRecord.h"
@@ -53,6 +54,10 @@
     /// Returns the number of requests sent within the window over which the cold request rate is limited.
     std::size_t recentRequests(Clock::TimePoint now);
 
+    /// What the target has stated about further requests.
+    TargetAvailability &availability();
+    const TargetAvailability &availability() const;
+
     const TargetRecord &record() const;
     std::uint64_t offset() const;
 
@@ -60,6 +65,7 @@
     void recordHealth(bool good);
 
     TargetRecord m_record;
+    TargetAvailability m_availability;
     std::uint64_t m_offset;
     std::size_t m_outstanding = 0;
     std::size_t m_promptTokens = 0; ///< Of requests whose response has not started.
--- a/Source/Relay/RelayAttempt.cpp
+++ b/Source/Relay/RelayAttempt.cpp
@@ -1,5 +1,6 @@
 #include "Relay/RelayAttempt.h"
 
+#include "Fleet/AvailabilityRecorder.h"
 #include "Fleet/RouteRecord.h"
 #include "Flow/CancelScope.h"
 #include "Flow/DeadlineTimer.h"
@@ -136,6 +137,9 @@
     if (head->requestId != m_parameters.request.id && !unattributedRefusal) {
         co_return makeFailureOutcome();
     }
+    // Not at the end of the response, because a stream is forwarded from now on.
+    AvailabilityRecorder(m_context.fleet, m_context.metrics)
+        .record(m_parameters.target, head->availability, "response", m_context.clock.now());
     if (isStream(*head)) {
         co_return co_await forwardStream(std::move(*head));
     }
--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -46,6 +46,7 @@
 constexpr Milliseconds refusedRetryDelay{15}; ///< Delay before a retry after a target refused, to avoid flooding targets at capacity.
 constexpr Milliseconds shortRetryAfter{400}; ///< Retry-After when targets were lost; other targets have taken over by then.
 constexpr Milliseconds overloadRetryAfter{3'000}; ///< Retry-After on overload; bursts last a few seconds.
+constexpr Milliseconds pauseEndSpread{500}; ///< Clients that were refused until a pause ends return spread over this time.
 /// Bytes between data centres whose transfer costs as much as reprocessing one prompt token.
 constexpr std::uint64_t bytesPerPromptToken = 2'800;
 constexpr int firstByteLatencies = 3; ///< Multiple of the target's typical latency after which it is presumed faulty.
@@ -343,7 +344,13 @@
         if (target) {
             co_return target;
         }
-        if (m_context.clock.now() > m_objectiveDeadline) {
+        const Clock::TimePoint now = m_context.clock.now();
+        const auto unavailable = m_context.fleet.timeUntilAvailable(m_service->name, now);
+        if (now > m_objectiveDeadline || (unavailable && *unavailable > m_objectiveDeadline - now)) {
+            if (unavailable && *unavailable < Clock::Duration::max()) {
+                const Milliseconds spread(Hash::of(m_request.id) % static_cast<std::uint64_t>(pauseEndSpread.count()));
+                m_refusal.retryAfter = std::chrono::ceil<Milliseconds>(*unavailable) + spread;
+            }
             break;
         }
         timer.expires_after(targetPollInterval);
@@ -393,7 +400,7 @@
             co_await refuse(ResultCode::ContentQuarantined, "requests with this content crashed targets");
             co_return NextStep::Done;
         }
-        m_refusal.retryAfter = shortRetryAfter;
+        m_refusal.retryAfter = m_refusal.retryAfter.value_or(shortRetryAfter);
         const std::string reason = m_refusal.reason;
         co_await refuse(ResultCode::NoTarget, reason);
         co_return NextStep::Done;
--- a/Source/Relay/UpstreamResponseHead.h
+++ b/Source/Relay/UpstreamResponseHead.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Decisions/AvailabilityStatement.h"
 #include "Fleet/TargetLoad.h"
 #include "Relay/HttpFields.h"
 
@@ -20,6 +21,7 @@
     bool hasContentEncoding = false; ///< The body has a Content-Encoding other than identity, so its bytes are not the target's own.
     std::string mediaType; ///< Type of the body, in lower case and without parameters; empty if absent.
     std::optional<TargetLoad> load;
+    AvailabilityStatement availability;
     HttpFields headers; ///< End-to-end headers, forwarded to the client.
 
     bool isSuccess() const
--- a/Tests/Fleet/FleetTest.cpp
+++ b/Tests/Fleet/FleetTest.cpp
@@ -1,3 +1,4 @@
+#include "Decisions/AvailabilityStatement.h"
 #include "Fleet/Catalogue.h"
 #include "Fleet/ColdTargetQuota.h"
 #include "Fleet/FleetRetryBudget.h"
@@ -30,6 +31,10 @@
     CPPUNIT_TEST(warmRecordsDoNotShortenTheColdTime);
     CPPUNIT_TEST(repeatsOfAllDaemonsStayWithinTheBudget);
     CPPUNIT_TEST(idleConnectionsStayWithinHalfOfTheAcceptedOnes);
+    CPPUNIT_TEST(leavingTargetsAreNeverChosen);
+    CPPUNIT_TEST(onlyANewerIncarnationBringsALeavingTargetBack);
+    CPPUNIT_TEST(pausedTargetsAreNotChosenUntilThePauseEnds);
+    CPPUNIT_TEST(theTimeUntilAvailableIsKnownOnlyFromStatements);
     CPPUNIT_TEST_SUITE_END();
 
     using Milliseconds = std::chrono::milliseconds;
@@ -63,6 +68,18 @@
         return requirements;
     }
 
+    static TargetRecord startedAt(const std::string &id, Milliseconds startTime)
+    {
+        TargetRecord record = target(id);
+        record.startTime = startTime;
+        return record;
+    }
+
+    bool recordStatement(FleetTable &fleet, const std::string &id, const AvailabilityStatement &statement, Milliseconds startTime = {})
+    {
+        return fleet.recordStatement({id, {}, {}, "model", {}, startTime}, statement, m_now);
+    }
+
     std::optional<SelectedTarget> choose(FleetTable &fleet, const TargetRequirements &requirements)
     {
         Reason reason;
@@ -319,6 +336,85 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), share.perTarget(51));
         CPPUNIT_ASSERT(share.perTarget(0) > 1'000);
     }
+
+    /// Not even if no other target is left.
+    void leavingTargetsAreNeverChosen()
+    {
+        FleetTable fleet("vm");
+        fleet.update(target("t1"), 1, m_now);
+        fleet.update(target("t2", "south"), 2, m_now);
+        CPPUNIT_ASSERT(recordStatement(fleet, "t1", {true, std::nullopt}));
+        for (int it = 0; it < 20; ++it) {
+            CPPUNIT_ASSERT_EQUAL(std::string("t2"), choose(fleet, requirements(it))->id);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("south"), fleet.predictDataCentre(requirements(), service(), m_now));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.availableTargets("model", m_now).size());
+        CPPUNIT_ASSERT(recordStatement(fleet, "t2", {true, std::nullopt}));
+        fleet.markMissing("t2", m_now + Milliseconds(2'000));
+        TargetRequirements tried = requirements();
+        tried.triedTargets = {"t1"};
+        CPPUNIT_ASSERT(!choose(fleet, requirements()) && !choose(fleet, tried));
+        CPPUNIT_ASSERT(fleet.availableTargets("model", m_now).empty());
+    }
+
+    void onlyANewerIncarnationBringsALeavingTargetBack()
+    {
+        FleetTable fleet("vm");
+        fleet.update(startedAt("t1", Milliseconds(5)), 1, m_now);
+        recordStatement(fleet, "t1", {true, std::nullopt}, Milliseconds(5));
+        fleet.update(startedAt("t1", Milliseconds(5)), 2, m_now);
+        CPPUNIT_ASSERT(!choose(fleet, requirements()));
+        fleet.remove("t1", 3);
+        fleet.update(startedAt("t1", Milliseconds(5)), 4, m_now);
+        CPPUNIT_ASSERT(!choose(fleet, requirements()));
+        // The statement arrives after the record has been removed.
+        recordStatement(fleet, "t3", {true, std::nullopt}, Milliseconds(5));
+        fleet.update(startedAt("t3", Milliseconds(5)), 5, m_now);
+        CPPUNIT_ASSERT(!choose(fleet, requirements()));
+        fleet.update(startedAt("t1", Milliseconds(6)), 6, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::string("t1"), choose(fleet, requirements())->id);
+        CPPUNIT_ASSERT(!recordStatement(fleet, "t1", {true, std::nullopt}, Milliseconds(5)));
+        CPPUNIT_ASSERT(choose(fleet, requirements()).has_value());
+        // Another target that now uses the address.
+        recordStatement(fleet, "t1", {true, std::nullopt}, Milliseconds(6));
+        TargetRecord other = target("t2");
+        other.address = target("t1").address;
+        fleet.update(other, 7, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::string("t2"), choose(fleet, requirements())->id);
+    }
+
+    void pausedTargetsAreNotChosenUntilThePauseEnds()
+    {
+        FleetTable fleet("vm");
+        fleet.update(target("t1"), 1, m_now);
+        CPPUNIT_ASSERT(recordStatement(fleet, "t1", {false, Milliseconds(900)}));
+        fleet.update(target("t1"), 2, m_now);
+        m_now += Milliseconds(899);
+        CPPUNIT_ASSERT(!choose(fleet, requirements()));
+        CPPUNIT_ASSERT(fleet.availableTargets("model", m_now).empty());
+        m_now += Milliseconds(1);
+        CPPUNIT_ASSERT(choose(fleet, requirements()).has_value());
+    }
+
+    void theTimeUntilAvailableIsKnownOnlyFromStatements()
+    {
+        FleetTable fleet("vm");
+        CPPUNIT_ASSERT(!fleet.timeUntilAvailable("model", m_now));
+        fleet.update(target("t1"), 1, m_now);
+        fleet.update(target("t2"), 2, m_now);
+        fleet.update(target("t3", "north", "other"), 3, m_now);
+        recordStatement(fleet, "t1", {true, std::nullopt});
+        CPPUNIT_ASSERT(!fleet.timeUntilAvailable("model", m_now));
+        recordStatement(fleet, "t2", {false, Milliseconds(900)});
+        CPPUNIT_ASSERT(fleet.timeUntilAvailable("model", m_now) == Milliseconds(900));
+        TargetRecord draining = target("t4");
+        draining.draining = true;
+        fleet.update(draining, 4, m_now);
+        CPPUNIT_ASSERT(fleet.timeUntilAvailable("model", m_now) == Milliseconds(900));
+        recordStatement(fleet, "t2", {true, std::nullopt});
+        CPPUNIT_ASSERT(fleet.timeUntilAvailable("model", m_now) == Clock::Duration::max());
+        CPPUNIT_ASSERT(!fleet.timeUntilAvailable("other", m_now));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetTest);
--- a/Tests/Relay/RelayCodecTest.cpp
+++ b/Tests/Relay/RelayCodecTest.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST(hopByHopHeadersAreDroppedExceptProtected);
     CPPUNIT_TEST(requestsRequireIdHostAndAbsolutePath);
     CPPUNIT_TEST(responsesIndicateExecution);
+    CPPUNIT_TEST(statementsOfTargetsAreDecoded);
+    CPPUNIT_TEST(malformedStatementsAreIgnoredOrBounded);
     CPPUNIT_TEST(mediaTypesAreComparable);
     CPPUNIT_TEST(refusalStatusDoesNotClaimNonExecution);
     CPPUNIT_TEST(lastPromptPartIsNotShared);
@@ -134,6 +136,55 @@
         CPPUNIT_ASSERT(!PlatformRelayCodec().parseResponse(load).load);
     }
 
+    static AvailabilityStatement statement(unsigned status, const std::vector<std::pair<std::string, std::string>> &headers)
+    {
+        RelayCodec::ResponseHead head;
+        head.result(status);
+        for (const auto &[name, value] : headers) {
+            head.insert(name, value);
+        }
+        const AvailabilityStatement parsed = PlatformRelayCodec().parseResponse(head).availability;
+        const AvailabilityStatement staged = PlatformStageCodec().parseAvailability(status, headers);
+        CPPUNIT_ASSERT(parsed.leaves == staged.leaves && parsed.pause == staged.pause);
+        return parsed;
+    }
+
+    void statementsOfTargetsAreDecoded()
+    {
+        using std::chrono::milliseconds;
+        CPPUNIT_ASSERT(statement(200, {}).isEmpty());
+        for (const unsigned status : {200U, 400U, 500U, 503U}) {
+            CPPUNIT_ASSERT(statement(status, {{"server-leaving", "1"}}).leaves);
+        }
+        CPPUNIT_ASSERT(statement(503, {{"Retry-After", "3"}}).pause == milliseconds(3'000));
+        CPPUNIT_ASSERT(statement(503, {{"Retry-After", " 0.25 "}}).pause == milliseconds(250));
+        CPPUNIT_ASSERT(statement(503, {{"Retry-After", "0"}}).pause == milliseconds(0));
+        CPPUNIT_ASSERT(statement(429, {{"Retry-After", "3"}}).isEmpty());
+        // Another target responds at the address.
+        CPPUNIT_ASSERT(statement(421, {{"Server-Leaving", "1"}}).isEmpty());
+        // Clients receive the headers as the target sent them.
+        RelayCodec::ResponseHead head;
+        head.set("Server-Leaving", "1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), count(PlatformRelayCodec().parseResponse(head).headers, "Server-Leaving"));
+    }
+
+    void malformedStatementsAreIgnoredOrBounded()
+    {
+        using std::chrono::milliseconds;
+        for (const std::string value : {"", "-1", "soon", "inf", "nan", "3s", "1,2", "0x3", "Fri, 31 Dec 1999 23:59:59 GMT"}) {
+            CPPUNIT_ASSERT_MESSAGE(value, !statement(503, {{"Retry-After", value}}).pause);
+        }
+        for (const std::string value : {"601", "1e12", "1e999", "99999999999999999999999999"}) {
+            CPPUNIT_ASSERT_MESSAGE(value, statement(503, {{"Retry-After", value}}).pause == milliseconds(600'000));
+        }
+        CPPUNIT_ASSERT(statement(503, {{"Retry-After", "2"}, {"Retry-After", "5"}}).pause == milliseconds(5'000));
+        CPPUNIT_ASSERT(statement(503, {{"Retry-After", "2"}, {"Retry-After", "soon"}}).pause == milliseconds(2'000));
+        for (const std::string value : {"", "0", "-1", "yes", "1, 1"}) {
+            CPPUNIT_ASSERT_MESSAGE(value, !statement(200, {{"Server-Leaving", value}}).leaves);
+        }
+        CPPUNIT_ASSERT(statement(200, {{"Server-Leaving", "0"}, {"Server-Leaving", "1"}}).leaves);
+    }
+
     void mediaTypesAreComparable()
     {
         RelayCodec::ResponseHead head;
