Leave out stage targets that say they leave or ask for a pause

A stage target that shuts down, or turns calls away for a time, said so in its responses to batch calls and calls that free results, but its owner went on calling it. Pieces sent there came back refused, and had to be sent again elsewhere.

BatchDispatcher records the statements of both kinds of call. A response counts if its results are new, or if nothing else was sent on its connection; otherwise it could be a late one to another call. Results on a target that leaves or wants a pause are not freed by a call but expire. A worker belongs to one incarnation of its target, like the statements.

These tests of LeavingTargetsTest failed before: leavingStageTargetsGetNoFurtherCalls (a second batch came), pausedStageTargetsGetNoCalls (eight calls instead of one) and responsesToFreeCallsSayThatATargetLeaves (no statement was counted).

--- a/Source/Batching/BatchDispatcher.cpp
+++ b/Source/Batching/BatchDispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "Batching/BatchWorker.h"
 #include "Batching/StageCodec.h"
+#include "Fleet/AvailabilityRecorder.h"
 #include "Fleet/Catalogue.h"
 #include "Fleet/CatalogueTable.h"
 #include "Fleet/FleetRetryBudget.h"
@@ -217,7 +218,20 @@
         request.body = m_dependencies.codec.encodeFree(worker->handlesToFree);
         request.headers.push_back(m_dependencies.codec.expectedTargetHeader(worker->target.id));
         const std::vector<std::string> freed = std::exchange(worker->handlesToFree, {});
+        if (!m_dependencies.fleet.isAvailable(worker->target.id, m_dependencies.clock.now())) {
+            break; // The results expire on the target.
+        }
         const auto answer = co_await worker->freeClient->call(std::move(request), connectTimeout, freeTimeout);
+        const bool attributed = !worker->freeClient->reused();
+        AvailabilityStatement statement;
+        if (answer) {
+            statement = m_dependencies.codec.parseAvailability(answer->status, answer->headers);
+        }
+        if (attributed) {
+            recordStatement(*worker, statement, "free-call");
+        } else if (!statement.isEmpty()) {
+            worker->freeClient.reset(); // The response to the next call can be attributed.
+        }
         if (!answer || answer->status != httpOk) {
             m_dependencies.metrics.counter("stage_free_failures_total").add();
             // A refusal that the target sends again must not be taken for the response to the next call.
@@ -241,7 +255,7 @@
     std::vector<std::shared_ptr<BatchWorker>> idle;
     for (const SelectedTarget &it : targets) {
         std::shared_ptr<BatchWorker> &worker = service.workers[it.id];
-        if (!worker || worker->target.address != it.address) {
+        if (!worker || worker->target.address != it.address || worker->target.startTime != it.startTime) {
             worker = std::make_shared<BatchWorker>(it);
         }
         if (!worker->busy && worker->backoffUntil <= now) {
@@ -350,6 +364,7 @@
     const auto answer = co_await worker->batchClient->call(std::move(request), connectTimeout, limit);
     const Clock::TimePoint now = m_dependencies.clock.now();
     worker->busy = false;
+    const bool reused = worker->batchClient->reused();
     bool attributed = false;
     if (answer && answer->status == httpOk) {
         worker->recordCallDuration(now - start, expected, now);
@@ -367,6 +382,9 @@
     } else {
         handleFailure(name, *worker, AttemptReport::Outcome::ConnectionLost);
     }
+    if (answer && (attributed || !reused)) {
+        recordStatement(*worker, m_dependencies.codec.parseAvailability(answer->status, answer->headers), "batch-call");
+    }
     if (!attributed) {
         // Another response may follow on the connection. The next call would take it for its own.
         worker->batchClient.reset();
@@ -462,6 +480,11 @@
     return !handles.empty();
 }
 
+void BatchDispatcher::recordStatement(const BatchWorker &worker, const AvailabilityStatement &statement, std::string_view source)
+{
+    AvailabilityRecorder(m_dependencies.fleet, m_dependencies.metrics).record(worker.target, statement, source, m_dependencies.clock.now());
+}
+
 void BatchDispatcher::handleFailure(const std::string &name, BatchWorker &worker, AttemptReport::Outcome outcome)
 {
     constexpr std::array endNames{"answered", "failed", "refused", "moved", "unreachable", "broken", "timed-out", "cancelled"};
--- a/Source/Batching/BatchDispatcher.h
+++ b/Source/Batching/BatchDispatcher.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Guavalock
@@ -50,7 +51,7 @@
     /// Cancels the pieces of a request. Results of pieces that are already being processed are freed.
     void cancel(std::string origin, std::string requestId);
 
-    /// Frees results on the targets that hold them.
+    /// Frees results on the targets that hold them, except on targets that leave or want a pause, where the results expire.
     void free(std::vector<std::string> handles);
 
     /// Returns queued pieces to the daemons that submitted them, which send them to the next owner. Calls in progress continue.
@@ -95,6 +96,8 @@
     /// Processes a response. Returns whether new results show that it belongs to the call in progress.
     bool handleResponse(const std::string &name, BatchWorker &worker, const std::string &body, const BatchParameters &parameters,
                         Clock::TimePoint start);
+    /// Records what a target states about further calls in a response that can be attributed to its call.
+    void recordStatement(const BatchWorker &worker, const AvailabilityStatement &statement, std::string_view source);
     void handleFailure(const std::string &name, BatchWorker &worker, AttemptReport::Outcome outcome);
     void requeue(const std::string &name, BatchQueue::Entry entry, bool retry);
     void queueResult(const std::string &origin, PieceResult result);
--- a/Source/Fleet/FleetTable.cpp
+++ b/Source/Fleet/FleetTable.cpp
@@ -129,6 +129,13 @@
     return availability.apply(statement, target.startTime, now);
 }
 
+bool FleetTable::isAvailable(const std::string &id, Clock::TimePoint now) const
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto it = m_targets.find(id);
+    return it != m_targets.end() && it->second.availability().state(now) == TargetAvailability::State::Available;
+}
+
 std::optional<Clock::Duration> FleetTable::timeUntilAvailable(const std::string &service, Clock::TimePoint now) const
 {
     const std::scoped_lock lock(m_mutex);
--- a/Source/Fleet/FleetTable.h
+++ b/Source/Fleet/FleetTable.h
@@ -66,6 +66,9 @@
     /// statements outlive the target's record, so that a record that is read again does not bring a leaving target back.
     bool recordStatement(const SelectedTarget &target, const AvailabilityStatement &statement, Clock::TimePoint now);
 
+    /// Returns whether a target is known and has not stated that it leaves or wants a pause.
+    bool isAvailable(const std::string &id, Clock::TimePoint now) const;
+
     /// Returns whether the targets of a service take no requests because of their own statements: the time until the first pause ends, or
     /// the maximum duration if all targets leave. Returns nothing if a target may become available for another reason.
     std::optional<Clock::Duration> timeUntilAvailable(const std::string &service, Clock::TimePoint now) const;
--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -60,9 +60,15 @@
     return m_failure;
 }
 
+bool HttpClient::reused() const
+{
+    return m_reused;
+}
+
 Asio::awaitable<bool> HttpClient::ensureConnected()
 {
-    if (m_connection->socket().is_open()) {
+    m_reused = m_connection->socket().is_open();
+    if (m_reused) {
         co_return true;
     }
     std::optional<DeadlineTimer> connectTimer;
@@ -100,7 +106,10 @@
     if (ec || parser.get().result_int() < firstFinalStatus) {
         co_return std::nullopt;
     }
-    Response response{parser.get().result_int(), std::move(parser.get().body()), std::string(parser.get()[loadHeader])};
+    Response response{parser.get().result_int(), std::move(parser.get().body()), std::string(parser.get()[loadHeader]), {}};
+    for (const auto &it : parser.get()) {
+        response.headers.emplace_back(it.name_string(), it.value());
+    }
     if (!parser.keep_alive()) {
         m_connection->close();
     }
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -33,6 +33,7 @@
         unsigned status = 0;
         std::string body;
         std::string load; ///< Value of the load header; empty if absent.
+        std::vector<std::pair<std::string, std::string>> headers;
     };
 
     /// Why the last call returned no response.
@@ -58,6 +59,9 @@
 
     Failure failure() const;
 
+    /// Returns whether the last call was sent over the connection of an earlier call, so that its response may be a late one to that call.
+    bool reused() const;
+
 private:
     boost::asio::awaitable<bool> ensureConnected();
     boost::asio::awaitable<std::optional<Response>> exchange(const Request &request);
@@ -68,6 +72,7 @@
     std::unique_ptr<Connection> m_connection;
     std::optional<std::chrono::milliseconds> m_connectTimeout;
     Failure m_failure = Failure::None;
+    bool m_reused = false;
 };
 
 } // namespace Guavalock
--- a/Tests/Site/LeavingTargetsTest.cpp
+++ b/Tests/Site/LeavingTargetsTest.cpp
@@ -19,10 +19,20 @@
     CPPUNIT_TEST(pausedTargetsGetNothingUntilThePauseEnds);
     CPPUNIT_TEST(requestsAreRefusedWhileAllTargetsArePaused);
     CPPUNIT_TEST(requestsWaitForAShortPause);
+    CPPUNIT_TEST(leavingStageTargetsGetNoFurtherCalls);
+    CPPUNIT_TEST(pausedStageTargetsGetNoCalls);
+    CPPUNIT_TEST(responsesToFreeCallsSayThatATargetLeaves);
     CPPUNIT_TEST_SUITE_END();
 
     using Fault = FakeFleetTarget::Fault;
 
+    static SiteFleet::Request makeStagedRequest(const std::string &id)
+    {
+        SiteFleet::Request request = SiteFleet::makeRequest("/patient/stream", id);
+        request.headers = {{"X-Guavalock-Chunk-Count", "1,1"}, {"X-Guavalock-Chunk-Key", "key"}};
+        return request;
+    }
+
     /// Sends requests until one has reached the target.
     static void sendUntilReached(const SiteFleet &fleet, const FakeFleetTarget &target, const std::string &path)
     {
@@ -153,6 +163,61 @@
         sendAndExpect(fleet, "/lasting-stream/x", "second", 200);
         CPPUNIT_ASSERT_EQUAL(arrivals + 1, model.arrivals());
     }
+
+    void leavingStageTargetsGetNoFurtherCalls()
+    {
+        SiteFleet fleet(1);
+        fleet.start();
+        FakeFleetTarget &stage = fleet.target("stage-1");
+        stage.setLeaving(true);
+        int n = 0;
+        while (stage.batches() == 0 && n < 100) {
+            CPPUNIT_ASSERT_EQUAL(200U, fleet.send(0, makeStagedRequest("a" + std::to_string(++n))).status);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), stage.batches());
+        const std::size_t arrivals = stage.arrivals();
+        for (int it = 0; it < 10; ++it) {
+            CPPUNIT_ASSERT_EQUAL(200U, fleet.send(0, makeStagedRequest("b" + std::to_string(it))).status);
+        }
+        CPPUNIT_ASSERT_EQUAL(arrivals, stage.arrivals());
+    }
+
+    void pausedStageTargetsGetNoCalls()
+    {
+        SiteFleet fleet(1);
+        fleet.start();
+        FakeFleetTarget &stage = fleet.target("stage-1");
+        stage.setPause(milliseconds(2'000));
+        int n = 0;
+        while (stage.arrivals() == 0 && n < 100) {
+            CPPUNIT_ASSERT_EQUAL(200U, fleet.send(0, makeStagedRequest("a" + std::to_string(++n))).status);
+        }
+        const auto refusedAt = std::chrono::steady_clock::now();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), stage.arrivals());
+        while (std::chrono::steady_clock::now() - refusedAt < milliseconds(1'000)) {
+            CPPUNIT_ASSERT_EQUAL(200U, fleet.send(0, makeStagedRequest("b" + std::to_string(++n))).status);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), stage.arrivals());
+    }
+
+    /// The results are freed when the model target sends its first event, after the stage target has begun to leave.
+    void responsesToFreeCallsSayThatATargetLeaves()
+    {
+        SiteFleet fleet(1);
+        fleet.start({"stage-2"});
+        FakeFleetTarget &stage = fleet.target("stage-1");
+        fleet.target("model-1").setServiceTime(milliseconds(400));
+        fleet.target("model-2").setServiceTime(milliseconds(400));
+        unsigned status = 0;
+        std::thread request([&] { status = fleet.send(0, makeStagedRequest("a")).status; });
+        const bool staged = SiteFleet::waitFor([&] { return stage.batches() == 2; });
+        stage.setLeaving(true);
+        request.join();
+        CPPUNIT_ASSERT(staged);
+        CPPUNIT_ASSERT_EQUAL(200U, status);
+        CPPUNIT_ASSERT(SiteFleet::waitFor([&] { return fleet.counter(0, "target_statements_total{statement=\"leaving\"}") == 1; }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), stage.arrivals());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LeavingTargetsTest);
