Tie statements to the latest start time that is known of a target

A target whose record was older than what the daemon already knew, for example after the store had lost its history, could say that it leaves without effect: its statement carried the start time of the old record. A statement that arrived without a record was lost as well if one of an earlier incarnation was remembered.

The start time of a selected target is now the latest that is known.

FleetTest::onlyANewerIncarnationBringsALeavingTargetBack has both cases.

--- a/Source/Decisions/TargetAvailability.cpp
+++ b/Source/Decisions/TargetAvailability.cpp
@@ -33,6 +33,11 @@
     return m_leaving || isLonger;
 }
 
+std::chrono::milliseconds TargetAvailability::startTime() const
+{
+    return m_startTime;
+}
+
 bool TargetAvailability::hasStatements() const
 {
     return m_leaving || m_pausedUntil != Clock::TimePoint::min();
--- a/Source/Decisions/TargetAvailability.h
+++ b/Source/Decisions/TargetAvailability.h
@@ -34,6 +34,9 @@
 
     bool hasStatements() const;
 
+    /// Returns the latest start time that is known, which statements must match.
+    std::chrono::milliseconds startTime() const;
+
     State state(Clock::TimePoint now) const;
 
     /// Returns the remaining time of a pause, or nothing if the target is not paused.
--- a/Source/Fleet/FleetTable.cpp
+++ b/Source/Fleet/FleetTable.cpp
@@ -110,6 +110,7 @@
 TargetAvailability &FleetTable::unlistedAvailability(const std::string &id, std::chrono::milliseconds startTime)
 {
     const auto [it, added] = m_unlisted.try_emplace(id, startTime);
+    it->second.setStartTime(startTime);
     if (added) {
         m_unlistedOrder.push_back(id);
     }
@@ -223,7 +224,8 @@
     }
     target->recordRequest(requirements.promptTokens, now);
     const TargetRecord &record = target->record();
-    return SelectedTarget{record.id, record.address, record.dataCentre, requirements.service, target->typicalLatency(), record.startTime};
+    return SelectedTarget{
+        record.id, record.address, record.dataCentre, requirements.service, target->typicalLatency(), target->availability().startTime()};
 }
 
 std::string FleetTable::predictDataCentre(const TargetRequirements &requirements, const ServiceRecord &service, Clock::TimePoint now)
@@ -261,9 +263,9 @@
             continue;
         }
         if (!target.isSuspect(now)) {
-            found.push_back({id, record.address, record.dataCentre, service, {}, record.startTime});
+            found.push_back({id, record.address, record.dataCentre, service, {}, target.availability().startTime()});
         } else if (target.isMissing(now)) {
-            missing.push_back({id, record.address, record.dataCentre, service, {}, record.startTime});
+            missing.push_back({id, record.address, record.dataCentre, service, {}, target.availability().startTime()});
         }
     }
     return found.empty() ? missing : found;
@@ -277,7 +279,7 @@
         return std::nullopt;
     }
     const TargetRecord &record = it->second.record();
-    return SelectedTarget{record.id, address, record.dataCentre, record.service, {}, record.startTime};
+    return SelectedTarget{record.id, address, record.dataCentre, record.service, {}, it->second.availability().startTime()};
 }
 
 std::size_t FleetTable::size() const
--- a/Source/Fleet/SelectedTarget.h
+++ b/Source/Fleet/SelectedTarget.h
@@ -15,7 +15,7 @@
     std::string dataCentre;
     std::string service;
     std::chrono::microseconds typicalLatency{0}; ///< Time to the first response byte; zero if unknown.
-    std::chrono::milliseconds startTime{0}; ///< Identifies the target's incarnation, as in its record.
+    std::chrono::milliseconds startTime{0}; ///< Identifies the target's incarnation.
 };
 
 } // namespace Guavalock
--- a/Tests/Fleet/FleetTest.cpp
+++ b/Tests/Fleet/FleetTest.cpp
@@ -375,11 +375,17 @@
         CPPUNIT_ASSERT_EQUAL(std::string("t1"), choose(fleet, requirements())->id);
         CPPUNIT_ASSERT(!recordStatement(fleet, "t1", {true, std::nullopt}, Milliseconds(5)));
         CPPUNIT_ASSERT(choose(fleet, requirements()).has_value());
+        // A statement of a later incarnation than the one remembered without a record.
+        CPPUNIT_ASSERT(recordStatement(fleet, "t4", {true, std::nullopt}, Milliseconds(5)));
+        CPPUNIT_ASSERT(recordStatement(fleet, "t4", {true, std::nullopt}, Milliseconds(6)));
+        // The store has lost its history and shows an older record again.
+        fleet.update(startedAt("t1", Milliseconds(5)), 7, m_now);
+        CPPUNIT_ASSERT(choose(fleet, requirements())->startTime == Milliseconds(6));
         // Another target that now uses the address.
         recordStatement(fleet, "t1", {true, std::nullopt}, Milliseconds(6));
         TargetRecord other = target("t2");
         other.address = target("t1").address;
-        fleet.update(other, 7, m_now);
+        fleet.update(other, 8, m_now);
         CPPUNIT_ASSERT_EQUAL(std::string("t2"), choose(fleet, requirements())->id);
     }
 
