--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -1,6 +1,7 @@
 #include "Relay/RelayJob.h"
 
 #include "Batching/StageTimes.h"
+#include "Decisions/Hash.h"
 #include "Decisions/StopPlan.h"
 #include "Fleet/Catalogue.h"
 #include "Fleet/CatalogueTable.h"
