--- a/Source/Decisions/CrashLedger.h
+++ b/Source/Decisions/CrashLedger.h
@@ -21,10 +21,12 @@
 /// begun, of which most is innocent. Content is innocent of a crash if a target completed a response to it afterwards, or if other content
 /// explains the crash. Content with the most crashes that are left is quarantined: requests with it are refused, for a time that doubles
 /// with each quarantine. Then the daemons take turns to try a single request; if that crashes a target, the next quarantine begins at once.
-/// If several have the most crashes, more crashes are needed, those that few requests have are quarantined, and the first quarantine is
-/// short.
 ///
-/// The ledgers of all daemons agree once they have merged the same evidence. Memory is bounded; the oldest evidence is dropped.
+/// If several have the most crashes, three are enough for whole requests among them, and five for parts. Of these, the ones that few
+/// requests have are quarantined, for a short time only. Crashes of a single target count half, since it may have a fault of its own.
+///
+/// Daemons adopt the quarantines of others unless they know a response after the last crash. Memory is bounded; the oldest evidence is
+/// dropped.
 class CrashLedger
 {
 public:
