--- a/Source/Decisions/CrashLedger.cpp
+++ b/Source/Decisions/CrashLedger.cpp
@@ -93,7 +93,7 @@
         m_nextDecision = std::min(m_nextDecision, at + m_limits.settleTime);
     }
     std::vector<std::uint64_t> contents = report.contents;
-    std::ranges::stable_partition(contents, [this](std::uint64_t it) { return !lastResponse(it); });
+    std::stable_partition(contents.begin(), contents.end(), [this](std::uint64_t it) { return !lastResponse(it); });
     CrashReport added{report.address, at, {}};
     std::vector<std::uint64_t> tried;
     for (const std::uint64_t it : contents) {
