Decode, log and count the limits that targets state

The header is decoded in platform/, kept for the incarnation of the target, and logged and counted when it changes. Malformed values are logged and leave the limit as it was; too large ones are bounded. Nothing depends on the limit yet.

--- a/Source/Batching/BatchDispatcher.cpp
+++ b/Source/Batching/BatchDispatcher.cpp
@@ -221,11 +221,13 @@
         if (!m_dependencies.fleet.isAvailable(worker->target.id, m_dependencies.clock.now())) {
             break; // The results expire on the target.
         }
+        const Clock::TimePoint start = m_dependencies.clock.now();
         const auto answer = co_await worker->freeClient->call(std::move(request), connectTimeout, freeTimeout);
         const bool attributed = !worker->freeClient->reused();
         AvailabilityStatement statement;
         if (answer) {
             statement = m_dependencies.codec.parseAvailability(answer->status, answer->headers);
+            statement.requestSentAt = start;
         }
         if (attributed) {
             recordStatement(*worker, statement, "free-call");
@@ -383,7 +385,9 @@
         handleFailure(name, *worker, AttemptReport::Outcome::ConnectionLost);
     }
     if (answer && (attributed || !reused)) {
-        recordStatement(*worker, m_dependencies.codec.parseAvailability(answer->status, answer->headers), "batch-call");
+        AvailabilityStatement statement = m_dependencies.codec.parseAvailability(answer->status, answer->headers);
+        statement.requestSentAt = start;
+        recordStatement(*worker, statement, "batch-call");
     }
     if (!attributed) {
         // Another response may follow on the connection. The next call would take it for its own.
--- a/Source/Decisions/TargetAvailability.cpp
+++ b/Source/Decisions/TargetAvailability.cpp
@@ -30,7 +30,8 @@
     if (isLonger) {
         m_pausedUntil = end;
     }
-    return m_leaving || isLonger;
+    const bool limitChanges = statement.requestLimit.has_value() && m_limit.apply(*statement.requestLimit, statement.requestSentAt, now);
+    return m_leaving || isLonger || limitChanges;
 }
 
 std::chrono::milliseconds TargetAvailability::startTime() const
@@ -40,7 +41,12 @@
 
 bool TargetAvailability::hasStatements() const
 {
-    return m_leaving || m_pausedUntil != Clock::TimePoint::min();
+    return m_leaving || m_pausedUntil != Clock::TimePoint::min() || m_limit.requestsPerSecond() != AvailabilityStatement::unlimited;
+}
+
+const RequestLimit &TargetAvailability::limit() const
+{
+    return m_limit;
 }
 
 TargetAvailability::State TargetAvailability::state(Clock::TimePoint now) const
--- a/Source/Decisions/TargetAvailability.h
+++ b/Source/Decisions/TargetAvailability.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Decisions/RequestLimit.h"
 #include "Kernel/Clock.h"
 
 #include <chrono>
@@ -28,12 +29,15 @@
     /// Discards all statements if the target has been restarted since. Earlier start times are ignored.
     void setStartTime(std::chrono::milliseconds startTime);
 
-    /// Applies a statement made by the incarnation with the given start time. Returns whether the target begins to leave, or a pause begins
-    /// or is extended. Statements of other incarnations have no effect.
+    /// Applies a statement made by the incarnation with the given start time. Returns whether the target begins to leave, a pause begins or
+    /// is extended, or the limit of its requests changes. Statements of other incarnations have no effect.
     bool apply(const AvailabilityStatement &statement, std::chrono::milliseconds startTime, Clock::TimePoint now);
 
+    /// Returns whether the target has ever stated a restriction.
     bool hasStatements() const;
 
+    const RequestLimit &limit() const;
+
     /// Returns the latest start time that is known, which statements must match.
     std::chrono::milliseconds startTime() const;
 
@@ -46,6 +50,7 @@
     std::chrono::milliseconds m_startTime;
     bool m_leaving = false;
     Clock::TimePoint m_pausedUntil = Clock::TimePoint::min();
+    RequestLimit m_limit;
 };
 
 } // namespace Guavalock
--- a/Source/Fleet/FleetTable.cpp
+++ b/Source/Fleet/FleetTable.cpp
@@ -125,9 +125,14 @@
 {
     const std::scoped_lock lock(m_mutex);
     const auto it = m_targets.find(target.id);
-    TargetAvailability &availability
-        = it == m_targets.end() ? unlistedAvailability(target.id, target.startTime) : it->second.availability();
-    return availability.apply(statement, target.startTime, now);
+    if (it != m_targets.end()) {
+        return it->second.availability().apply(statement, target.startTime, now);
+    }
+    const bool isRemembered = m_unlisted.contains(target.id);
+    if (statement.isEmpty() && !isRemembered) {
+        return false;
+    }
+    return unlistedAvailability(target.id, target.startTime).apply(statement, target.startTime, now);
 }
 
 bool FleetTable::isAvailable(const std::string &id, Clock::TimePoint now) const
--- a/Source/Relay/RelayAttempt.cpp
+++ b/Source/Relay/RelayAttempt.cpp
@@ -138,6 +138,7 @@
         co_return makeFailureOutcome();
     }
     // Not at the end of the response, because a stream is forwarded from now on.
+    head->availability.requestSentAt = start;
     AvailabilityRecorder(m_context.fleet, m_context.metrics)
         .record(m_parameters.target, head->availability, "response", m_context.clock.now());
     if (isStream(*head)) {
--- a/Tests/Relay/RelayCodecTest.cpp
+++ b/Tests/Relay/RelayCodecTest.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(responsesIndicateExecution);
     CPPUNIT_TEST(statementsOfTargetsAreDecoded);
     CPPUNIT_TEST(malformedStatementsAreIgnoredOrBounded);
+    CPPUNIT_TEST(limitsOfTargetsAreDecoded);
     CPPUNIT_TEST(mediaTypesAreComparable);
     CPPUNIT_TEST(refusalStatusDoesNotClaimNonExecution);
     CPPUNIT_TEST(lastPromptPartIsNotShared);
@@ -145,7 +146,7 @@
         }
         const AvailabilityStatement parsed = PlatformRelayCodec().parseResponse(head).availability;
         const AvailabilityStatement staged = PlatformStageCodec().parseAvailability(status, headers);
-        CPPUNIT_ASSERT(parsed.leaves == staged.leaves && parsed.pause == staged.pause);
+        CPPUNIT_ASSERT(parsed.leaves == staged.leaves && parsed.pause == staged.pause && parsed.requestLimit == staged.requestLimit);
         return parsed;
     }
 
@@ -185,6 +186,26 @@
         CPPUNIT_ASSERT(statement(200, {{"Server-Leaving", "0"}, {"Server-Leaving", "1"}}).leaves);
     }
 
+    void limitsOfTargetsAreDecoded()
+    {
+        constexpr double unlimited = AvailabilityStatement::unlimited;
+        for (const unsigned status : {200U, 400U, 500U, 503U}) {
+            CPPUNIT_ASSERT(statement(status, {{"server-limit", " 1.25 "}}).requestLimit == 1.25);
+            CPPUNIT_ASSERT(statement(status, {}).requestLimit == unlimited);
+        }
+        CPPUNIT_ASSERT(statement(200, {{"Server-Limit", "0"}}).requestLimit == 0);
+        CPPUNIT_ASSERT(statement(200, {{"Server-Limit", "3"}, {"Server-Limit", "2"}}).requestLimit == 2);
+        CPPUNIT_ASSERT(statement(200, {{"Server-Limit", "3"}, {"Server-Limit", "few"}}).requestLimit == 3);
+        for (const std::string value : {"", "-1", "few", "nan", "inf", "1,2", "2/s", "0x2"}) {
+            CPPUNIT_ASSERT_MESSAGE(value, !statement(200, {{"Server-Limit", value}}).requestLimit);
+        }
+        for (const std::string value : {"1e12", "1e999", "99999999999999999999999999"}) {
+            CPPUNIT_ASSERT_MESSAGE(value, statement(200, {{"Server-Limit", value}}).requestLimit == 1'000'000);
+        }
+        CPPUNIT_ASSERT(!statement(421, {{"Server-Limit", "1"}}).requestLimit);
+        CPPUNIT_ASSERT(!statement(421, {}).requestLimit);
+    }
+
     void mediaTypesAreComparable()
     {
         RelayCodec::ResponseHead head;
