--- a/Fakes/FakeFleetTarget.cpp
+++ b/Fakes/FakeFleetTarget.cpp
@@ -35,6 +35,7 @@
 constexpr const char *lastEventIdHeader = "Last-Event-Id";
 constexpr const char *inputCountHeader = "X-Guavalock-Input-Count";
 constexpr const char *leavingHeader = "Server-Leaving";
+constexpr const char *limitHeader = "Server-Limit";
 constexpr int eventsPerStream = 5;
 constexpr std::size_t endlessBytes = 4'096; ///< Written at a time by endless responses.
 
@@ -163,6 +164,12 @@
     m_leaving = leaving;
 }
 
+void FakeFleetTarget::setLimit(std::string requestsPerSecond)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_limit = std::move(requestsPerSecond);
+}
+
 void FakeFleetTarget::setPause(std::chrono::milliseconds pause)
 {
     const std::scoped_lock lock(m_mutex);
@@ -175,6 +182,9 @@
     if (m_leaving) {
         response.set(leavingHeader, "1");
     }
+    if (!m_limit.empty()) {
+        response.set(limitHeader, m_limit);
+    }
     return response;
 }
 
@@ -228,7 +238,13 @@
 std::size_t FakeFleetTarget::arrivals() const
 {
     const std::scoped_lock lock(m_mutex);
-    return m_requestCount;
+    return m_arrivalTimes.size();
+}
+
+std::vector<std::chrono::steady_clock::time_point> FakeFleetTarget::arrivalTimes() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_arrivalTimes;
 }
 
 std::size_t FakeFleetTarget::connections() const
@@ -278,7 +294,7 @@
     {
         const std::scoped_lock lock(m_mutex);
         pause = m_pause;
-        ++m_requestCount;
+        m_arrivalTimes.push_back(std::chrono::steady_clock::now());
         std::ostringstream text;
         text << request.base();
         m_lastHeaders = text.str();
@@ -366,6 +382,9 @@
     {
         const std::scoped_lock lock(m_mutex);
         statement = m_leaving ? std::string(leavingHeader) + ": 1\r\n" : "";
+        if (!m_limit.empty()) {
+            statement += std::string(limitHeader) + ": " + m_limit + "\r\n";
+        }
     }
     return "HTTP/1.1 200 OK\r\n" + framing + statement + std::string(attemptIdHeader) + ": " + std::string(request[attemptIdHeader])
         + "\r\n" + signatureHeader + ": " + m_id + "\r\n\r\n";
--- a/Fakes/FakeFleetTarget.h
+++ b/Fakes/FakeFleetTarget.h
@@ -82,6 +82,9 @@
     /// Makes the target refuse requests and batches, stating that it wants none for the given time; zero ends the refusals. Thread-safe.
     void setPause(std::chrono::milliseconds pause);
 
+    /// Makes the target state a limit of requests per second in every response; an empty text ends that. Thread-safe.
+    void setLimit(std::string requestsPerSecond);
+
     /// Sets the service time of a request or batch. Thread-safe.
     void setServiceTime(std::chrono::milliseconds serviceTime);
 
@@ -104,6 +107,9 @@
     /// Returns the number of requests received, including rejected ones.
     std::size_t arrivals() const;
 
+    /// Returns when the requests arrived.
+    std::vector<std::chrono::steady_clock::time_point> arrivalTimes() const;
+
     std::size_t connections() const;
 
     /// Returns the request line and headers of the last request.
@@ -159,9 +165,10 @@
     std::chrono::milliseconds m_serviceTime{2};
     std::chrono::milliseconds m_pause{0};
     bool m_leaving = false;
+    std::string m_limit; ///< As stated in responses; empty for none.
     std::size_t m_maxBatchSize = 0;
     std::size_t m_batchCount = 0;
-    std::size_t m_requestCount = 0;
+    std::vector<std::chrono::steady_clock::time_point> m_arrivalTimes;
     std::size_t m_lastResultNumber = 0;
 };
 
