--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -154,7 +154,11 @@
     if (!newest) {
         co_return false;
     }
-    apply(topic, m_dependencies.mirror.apply({topic, newest->records, newest->next, m_dependencies.clock.now(), true}));
+    recordEra(topic, newest->era);
+    Log::info(
+        "fleet", "records-read",
+        {{"topic", topicName(topic)}, {"records", std::to_string(newest->records.size())}, {"next_offset", std::to_string(newest->next)}});
+    applyFromStore({topic, newest->records, newest->next, m_dependencies.clock.now(), true});
     co_return true;
 }
 
@@ -164,16 +168,39 @@
     const std::uint64_t from = m_dependencies.mirror.progress(topic).next;
     const RecordStore::ReadResult read = co_await store.read(topic, from, parameters.wait, parameters.timeout);
     if (read.status == RecordStore::ReadStatus::Truncated) {
+        Log::info("fleet", "records-truncated", {{"topic", topicName(topic)}, {"from", std::to_string(from)}});
         truncated = true;
         co_return true;
     }
     if (read.status == RecordStore::ReadStatus::Failed) {
         co_return false;
     }
-    apply(topic, m_dependencies.mirror.apply({topic, read.records, read.next, m_dependencies.clock.now(), false}));
+    recordEra(topic, read.era);
+    applyFromStore({topic, read.records, read.next, m_dependencies.clock.now(), false});
     co_return true;
 }
 
+void FleetFollower::recordEra(Topic topic, std::uint64_t era)
+{
+    std::uint64_t &known = m_eras.at(static_cast<std::size_t>(topic));
+    if (era != known) {
+        Log::warning("fleet", "store-era", {{"topic", topicName(topic)}, {"era", std::to_string(era)}, {"before", std::to_string(known)}});
+        known = era;
+    }
+}
+
+void FleetFollower::applyFromStore(const RecordUpdate &update)
+{
+    const std::vector<KeyedRecord> newer = m_dependencies.mirror.apply(update);
+    if (newer.size() < update.records.size()) {
+        Log::info("fleet", "records-known",
+                  {{"topic", topicName(update.topic)},
+                   {"records", std::to_string(update.records.size() - newer.size())},
+                   {"next_offset", std::to_string(update.next)}});
+    }
+    apply(update.topic, newer);
+}
+
 void FleetFollower::applyFromPeer(const RecordUpdate &update)
 {
     Asio::post(m_strand, [this, update] { apply(update.topic, m_dependencies.mirror.apply(update)); });
--- a/Source/Fleet/FleetFollower.h
+++ b/Source/Fleet/FleetFollower.h
@@ -85,6 +85,9 @@
     boost::asio::awaitable<bool> readLatest(RecordStore &store, Topic topic);
     boost::asio::awaitable<void> publishSelf(MemberRecord self);
     void setStoreAvailable(Topic topic, bool available);
+    /// Logs that the store answers in another era than before.
+    void recordEra(Topic topic, std::uint64_t era);
+    void applyFromStore(const RecordUpdate &update);
     void apply(Topic topic, const std::vector<KeyedRecord> &records);
     void applyOperator(const KeyedRecord &record);
     void applyTarget(const KeyedRecord &record);
@@ -97,6 +100,7 @@
     Callbacks m_callbacks;
     StoreFactory m_storeFactory;
     std::array<bool, allTopics.size()> m_storeUnavailable{}; ///< By topic: whether the store is unavailable.
+    std::array<std::uint64_t, allTopics.size()> m_eras{}; ///< By topic, as the store last answered.
     std::optional<Clock::TimePoint> m_targetsRecovered; ///< When the store last became available again for the targets topic.
     /// Deferred removals of targets whose records were missing when the store became available again.
     std::map<std::string, Removal> m_deferredRemovals;
--- a/Source/Fleet/RecordStore.h
+++ b/Source/Fleet/RecordStore.h
@@ -14,6 +14,8 @@
 {
 
 /// Client of the platform's store of keyed records. Each object makes one call at a time, on the strand it was created with.
+///
+/// The store may come back from an older copy. It then gives out offsets again, in a higher era. A store without eras is in era 0.
 class RecordStore
 {
 public:
@@ -27,11 +29,13 @@
         ReadStatus status = ReadStatus::Failed;
         std::vector<KeyedRecord> records;
         std::uint64_t next = 0; ///< Offset of the next read.
+        std::uint64_t era = 0;
     };
 
     struct LatestRecords {
         std::vector<KeyedRecord> records;
         std::uint64_t next = 0; ///< End offset of the topic, taken before the first page was read.
+        std::uint64_t era = 0;
     };
 
     enum class PutStatus {
