--- a/Fakes/FakeRecordStore.cpp
+++ b/Fakes/FakeRecordStore.cpp
@@ -91,6 +91,25 @@
     });
 }
 
+void FakeRecordStore::saveCopy()
+{
+    Asio::post(m_server.strand(), [this] { m_copy = m_topics; });
+}
+
+void FakeRecordStore::restoreCopy()
+{
+    Asio::post(m_server.strand(), [this] {
+        m_topics = m_copy;
+        ++m_era;
+    });
+}
+
+FakeServer::Response FakeRecordStore::withEra(FakeServer::Response response) const
+{
+    response.set("Store-Era", std::to_string(m_era));
+    return response;
+}
+
 std::size_t FakeRecordStore::calls() const
 {
     return m_calls;
@@ -113,7 +132,7 @@
     const std::string &body = request.body();
     const std::size_t keyBytes = static_cast<unsigned char>(body.at(lengthPrefixBytes));
     append(topic, body.substr(lengthPrefixBytes + 1, keyBytes), body.substr(lengthPrefixBytes + 1 + keyBytes));
-    co_return co_await FakeServer::send(socket, FakeServer::jsonResponse(200, "{}"));
+    co_return co_await FakeServer::send(socket, withEra(FakeServer::jsonResponse(200, "{}")));
 }
 
 Asio::awaitable<bool> FakeRecordStore::readLatest(FakeServer::Socket &socket, const Topic &topic)
@@ -131,7 +150,7 @@
     reply["entries"] = std::move(entries);
     reply["has_more"] = false;
     reply["end_offset"] = end;
-    FakeServer::Response response = FakeServer::jsonResponse(200, boost::json::serialize(reply));
+    FakeServer::Response response = withEra(FakeServer::jsonResponse(200, boost::json::serialize(reply)));
     co_return co_await FakeServer::send(socket, std::move(response));
 }
 
@@ -140,21 +159,21 @@
     const std::uint64_t from = std::stoull(queryParameter(target, "from"));
     const auto deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(std::stoull(queryParameter(target, "wait_ms")));
     Asio::steady_timer timer(m_server.strand());
-    while (from >= topic.firstOffset + topic.records.size() && std::chrono::steady_clock::now() < deadline && !m_outage) {
+    while (from == topic.firstOffset + topic.records.size() && std::chrono::steady_clock::now() < deadline && !m_outage) {
         timer.expires_after(readPollInterval);
         co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
     }
     if (m_outage) {
         co_return false;
     }
-    if (from < topic.firstOffset) {
-        co_return co_await FakeServer::send(socket, FakeServer::jsonResponse(410, "{}"));
+    if (from < topic.firstOffset || from > topic.firstOffset + topic.records.size()) {
+        co_return co_await FakeServer::send(socket, withEra(FakeServer::jsonResponse(410, "{}")));
     }
     std::string body = bigEndian(std::uint64_t(topic.firstOffset + topic.records.size())) + bigEndian(topic.firstOffset);
     for (std::size_t it = from - topic.firstOffset; it < topic.records.size(); ++it) {
         body += topic.records[it];
     }
-    FakeServer::Response response = FakeServer::jsonResponse(200, std::move(body));
+    FakeServer::Response response = withEra(FakeServer::jsonResponse(200, std::move(body)));
     response.set(Http::field::content_type, "application/octet-stream");
     co_return co_await FakeServer::send(socket, std::move(response));
 }
--- a/Fakes/FakeRecordStore.h
+++ b/Fakes/FakeRecordStore.h
@@ -29,6 +29,12 @@
     /// Discards the log of every topic. The latest record of each key remains readable. Thread-safe.
     void forget();
 
+    /// Keeps a copy of all topics. Thread-safe.
+    void saveCopy();
+
+    /// Replaces all topics with the copy and raises the era. Thread-safe.
+    void restoreCopy();
+
     std::size_t calls() const;
 
 private:
@@ -41,10 +47,13 @@
     boost::asio::awaitable<bool> handle(FakeServer::Socket &socket, FakeServer::Request request);
     boost::asio::awaitable<bool> read(FakeServer::Socket &socket, Topic &topic, const std::string &target);
     boost::asio::awaitable<bool> readLatest(FakeServer::Socket &socket, const Topic &topic);
+    FakeServer::Response withEra(FakeServer::Response response) const;
     static void append(Topic &topic, const std::string &key, const std::string &value);
 
     FakeServer m_server;
     std::map<std::string, Topic> m_topics;
+    std::map<std::string, Topic> m_copy;
+    std::uint64_t m_era = 1;
     std::atomic<bool> m_outage{false};
     std::atomic<std::size_t> m_calls{0};
 };
--- a/Tests/Site/SiteFleet.cpp
+++ b/Tests/Site/SiteFleet.cpp
@@ -112,7 +112,8 @@
     const TargetLocation &location = m_targetLocations.at(name);
     const boost::json::object entry{{"service", location.service}, {"address", FakeAddress::text() + ":" + std::to_string(location.port)},
                                     {"zone", location.dataCentre}, {"state", state},
-                                    {"cold_remaining_ms", 0},      {"born", 1}};
+                                    {"cold_remaining_ms", 0},      {"born", 1},
+                                    {"sequence", ++m_lastSequence}};
     m_store->put("keyed.servers", name, boost::json::serialize(entry));
 }
 
--- a/Tests/Site/SiteFleet.h
+++ b/Tests/Site/SiteFleet.h
@@ -103,6 +103,7 @@
     std::unique_ptr<FakeRecordStore> m_store;
     std::map<std::string, TargetLocation> m_targetLocations;
     std::map<std::string, std::unique_ptr<FakeFleetTarget>> m_targets;
+    std::uint64_t m_lastSequence = 0; ///< Of target records.
     std::vector<std::unique_ptr<SiteDaemon>> m_daemons;
 };
 
