--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -20,6 +20,8 @@
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <utility>
+
 namespace Guavalock
 {
 
@@ -59,6 +61,7 @@
 constexpr Milliseconds callTimeout{1'500}; ///< For calls that the store answers immediately.
 constexpr Milliseconds initialRetryDelay{150}; ///< Initial retry delay while the store is unavailable.
 constexpr Milliseconds maxRetryDelay{700}; ///< Maximum retry delay; short compared with the time within which changes must take effect.
+constexpr Milliseconds maxPublishDelay{1'000}; ///< Spreads the writes of all daemons. Their links don't depend on the records.
 constexpr Milliseconds recoveryTime{2'000}; ///< Time after an outage of the store by which live targets have renewed their records.
 
 } // namespace
@@ -77,10 +80,11 @@
 void FleetFollower::start(const MemberRecord &self)
 {
     m_random.seed(Hash::of(self.incarnation));
+    m_self = self;
     for (const Topic it : allTopics) {
         Asio::co_spawn(m_strand, follow(it), Asio::detached);
     }
-    Asio::co_spawn(m_strand, publishSelf(self), Asio::detached);
+    Asio::co_spawn(m_strand, publishSelf(Milliseconds(0)), Asio::detached);
 }
 
 void FleetFollower::stop()
@@ -121,6 +125,7 @@
     while (!m_stopped) {
         const Clock::TimePoint start = m_dependencies.clock.now();
         const bool fromPeer = co_await readFromPeer(topic);
+        applyReleased(topic);
         if (topic == Topic::Targets) {
             removeExpired();
         }
@@ -141,7 +146,7 @@
             timer.expires_at(start + parameters.interval);
         } else {
             m_dependencies.metrics.counter(std::string("store_failures_total{topic=\"") + topicName(topic) + "\"}").add();
-            m_callbacks.requestFromPeers(topic, m_dependencies.mirror.progress(topic).next);
+            m_callbacks.requestFromPeers(topic, nextPosition(topic));
             timer.expires_after(backoff.next(m_random));
         }
         co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
@@ -154,12 +159,11 @@
     if (!newest) {
         co_return false;
     }
-    recordEra(topic, newest->era);
     Log::info(
         "fleet", "records-read",
         {{"topic", topicName(topic)}, {"records", std::to_string(newest->records.size())}, {"next_offset", std::to_string(newest->next)}});
-    applyFromStore({topic, newest->records, newest->next, m_dependencies.clock.now(), true});
-    co_return true;
+    applyUpdate({topic, newest->records, newest->next, m_dependencies.clock.now(), true, newest->era, {}});
+    co_return m_dependencies.mirror.progress(topic).era == newest->era;
 }
 
 Asio::awaitable<bool> FleetFollower::readIncremental(RecordStore &store, Topic topic, bool &truncated)
@@ -175,21 +179,15 @@
     if (read.status == RecordStore::ReadStatus::Failed) {
         co_return false;
     }
-    recordEra(topic, read.era);
-    applyFromStore({topic, read.records, read.next, m_dependencies.clock.now(), false});
-    co_return true;
-}
-
-void FleetFollower::recordEra(Topic topic, std::uint64_t era)
-{
-    std::uint64_t &known = m_eras.at(static_cast<std::size_t>(topic));
-    if (era != known) {
-        Log::warning("fleet", "store-era", {{"topic", topicName(topic)}, {"era", std::to_string(era)}, {"before", std::to_string(known)}});
-        known = era;
+    // The offset from which the topic was read means something else in another era.
+    truncated = read.era != m_dependencies.mirror.progress(topic).era;
+    if (!truncated) {
+        applyUpdate({topic, read.records, read.next, m_dependencies.clock.now(), false, read.era, {}});
     }
+    co_return true;
 }
 
-void FleetFollower::applyFromStore(const RecordUpdate &update)
+void FleetFollower::applyUpdate(const RecordUpdate &update)
 {
     const std::vector<KeyedRecord> newer = m_dependencies.mirror.apply(update);
     if (newer.size() < update.records.size()) {
@@ -198,18 +196,56 @@
                    {"records", std::to_string(update.records.size() - newer.size())},
                    {"next_offset", std::to_string(update.next)}});
     }
+    handleEra(update.topic, m_dependencies.mirror.progress(update.topic).era);
     apply(update.topic, newer);
 }
 
+void FleetFollower::handleEra(Topic topic, std::uint64_t era)
+{
+    const std::uint64_t before = std::exchange(m_eras.at(static_cast<std::size_t>(topic)), era);
+    if (era == before) {
+        return;
+    }
+    const std::map<std::string, Clock::TimePoint> held = m_dependencies.mirror.heldKeys(topic);
+    Log::warning("fleet", "store-era",
+                 {{"topic", topicName(topic)},
+                  {"era", std::to_string(era)},
+                  {"before", std::to_string(before)},
+                  {"held", std::to_string(held.size())}});
+    if (topic == Topic::Targets) {
+        for (const auto &[key, until] : held) {
+            m_dependencies.fleet.markMissing(key, until);
+        }
+    }
+    if (topic == Topic::Members && before != 0) {
+        Asio::co_spawn(m_strand, publishSelf(maxPublishDelay), Asio::detached);
+    }
+}
+
+void FleetFollower::applyReleased(Topic topic)
+{
+    const std::vector<KeyedRecord> released = m_dependencies.mirror.releaseHeld(topic, m_dependencies.clock.now());
+    for (const KeyedRecord &it : released) {
+        Log::info("fleet", "record-released", {{"topic", topicName(topic)}, {"key", it.key}, {"offset", std::to_string(it.offset)}});
+    }
+    apply(topic, released);
+}
+
+RecordPosition FleetFollower::nextPosition(Topic topic) const
+{
+    const RecordMirror::Progress progress = m_dependencies.mirror.progress(topic);
+    return {progress.era, progress.next};
+}
+
 void FleetFollower::applyFromPeer(const RecordUpdate &update)
 {
-    Asio::post(m_strand, [this, update] { apply(update.topic, m_dependencies.mirror.apply(update)); });
+    Asio::post(m_strand, [this, update] { applyUpdate(update); });
 }
 
 Asio::awaitable<bool> FleetFollower::readFromPeer(Topic topic)
 {
     const RecordSource source = m_callbacks.recordSource(topic);
-    if (source.vm.empty() || !m_callbacks.requestFromReader(source.vm, topic, m_dependencies.mirror.progress(topic).next)) {
+    if (source.vm.empty() || !m_callbacks.requestFromReader(source.vm, topic, nextPosition(topic))) {
         co_return false;
     }
     Asio::steady_timer timer(m_strand, peerReplyTimeout);
@@ -253,10 +289,10 @@
     const Clock::TimePoint now = m_dependencies.clock.now();
     if (!record.value) {
         if (m_targetsRecovered && now < *m_targetsRecovered + recoveryTime) {
-            m_deferredRemovals[record.key] = {record.offset, *m_targetsRecovered + recoveryTime};
+            m_deferredRemovals[record.key] = {record.position(), *m_targetsRecovered + recoveryTime};
             m_dependencies.fleet.markMissing(record.key, *m_targetsRecovered + recoveryTime);
             Log::info("fleet", "target-missing", {{"target", record.key}, {"offset", std::to_string(record.offset)}});
-        } else if (m_dependencies.fleet.remove(record.key, record.offset)) {
+        } else if (m_dependencies.fleet.remove(record.key, record.position())) {
             Log::info("fleet", "target-gone", {{"target", record.key}, {"offset", std::to_string(record.offset)}});
         }
         return;
@@ -265,12 +301,12 @@
     Reason reason;
     const std::optional<TargetRecord> target = m_dependencies.codec.target(record.key, *record.value, reason);
     if (!target) {
-        if (m_dependencies.fleet.remove(record.key, record.offset)) {
+        if (m_dependencies.fleet.remove(record.key, record.position())) {
             Log::warning("fleet", "target-record-invalid", {{"target", record.key}, {"reason", reason.text}});
         }
         return;
     }
-    if (m_dependencies.fleet.update(*target, record.offset, now)) {
+    if (m_dependencies.fleet.update(*target, record.position(), now)) {
         Log::info("fleet", target->draining ? "target-draining" : "target",
                   {{"target", target->id},
                    {"service", target->service},
@@ -288,8 +324,8 @@
             ++it;
             continue;
         }
-        if (m_dependencies.fleet.remove(it->first, it->second.offset)) {
-            Log::info("fleet", "target-gone", {{"target", it->first}, {"offset", std::to_string(it->second.offset)}});
+        if (m_dependencies.fleet.remove(it->first, it->second.position)) {
+            Log::info("fleet", "target-gone", {{"target", it->first}, {"offset", std::to_string(it->second.position.offset)}});
         }
         it = m_deferredRemovals.erase(it);
     }
@@ -310,14 +346,15 @@
     }
 }
 
-Asio::awaitable<void> FleetFollower::publishSelf(MemberRecord self)
+Asio::awaitable<void> FleetFollower::publishSelf(Milliseconds maxDelay)
 {
     const std::unique_ptr<RecordStore> store = m_storeFactory(m_strand);
-    const std::string text = m_dependencies.codec.memberText(self);
+    const std::string text = m_dependencies.codec.memberText(m_self);
     Backoff backoff(initialRetryDelay, maxRetryDelay);
-    Asio::steady_timer timer(m_strand);
+    Asio::steady_timer timer(m_strand, maxDelay * static_cast<int>(m_random() % 100) / 100);
+    co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
     while (!m_stopped) {
-        const RecordStore::PutStatus end = co_await store->put(Topic::Members, self.vm, text, callTimeout);
+        const RecordStore::PutStatus end = co_await store->put(Topic::Members, m_self.vm, text, callTimeout);
         if (end == RecordStore::PutStatus::Written) {
             co_return;
         }
--- a/Source/Fleet/FleetFollower.h
+++ b/Source/Fleet/FleetFollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Decisions/RandomEngine.h"
+#include "Fleet/MemberRecord.h"
 #include "Fleet/RecordSource.h"
 #include "Fleet/RecordUpdate.h"
 #include "Kernel/Clock.h"
@@ -26,7 +27,6 @@
 class RecordCodec;
 class RecordMirror;
 class RecordStore;
-struct MemberRecord;
 
 /// Reads the topics of the record store and applies their records to the tables. Requests records from peers while the store is
 /// unavailable.
@@ -45,11 +45,11 @@
     /// Callbacks into the rest of the daemon.
     struct Callbacks {
         /// Requests records from arbitrary peers because the store is unavailable.
-        std::function<void(Topic, std::uint64_t from)> requestFromPeers;
+        std::function<void(Topic, RecordPosition from)> requestFromPeers;
         /// Returns where this daemon obtains the records of a topic.
         std::function<RecordSource(Topic)> recordSource;
         /// Requests records from that daemon. Returns false if there is no connection to it.
-        std::function<bool(const std::string &vm, Topic, std::uint64_t from)> requestFromReader;
+        std::function<bool(const std::string &vm, Topic, RecordPosition from)> requestFromReader;
         std::function<void(const MemberRecord &)> memberUpdated;
         std::function<void(const std::string &vm)> memberRemoved;
     };
@@ -73,7 +73,7 @@
 
 private:
     struct Removal {
-        std::uint64_t offset = 0;
+        RecordPosition position;
         Clock::TimePoint due;
     };
 
@@ -83,11 +83,16 @@
     boost::asio::awaitable<bool> readFromPeer(Topic topic);
     boost::asio::awaitable<bool> readIncremental(RecordStore &store, Topic topic, bool &truncated);
     boost::asio::awaitable<bool> readLatest(RecordStore &store, Topic topic);
-    boost::asio::awaitable<void> publishSelf(MemberRecord self);
+    /// Writes this daemon's own member record. In large fleets all daemons do so after a new era, so they wait for a random time first.
+    boost::asio::awaitable<void> publishSelf(std::chrono::milliseconds maxDelay);
     void setStoreAvailable(Topic topic, bool available);
-    /// Logs that the store answers in another era than before.
-    void recordEra(Topic topic, std::uint64_t era);
-    void applyFromStore(const RecordUpdate &update);
+    /// Applies an update to the mirror, and what is new of it to the tables.
+    void applyUpdate(const RecordUpdate &update);
+    /// Does what follows from a new era of the store: what this daemon has written there may be lost.
+    void handleEra(Topic topic, std::uint64_t era);
+    /// Applies what the store has instead of records that were held from an earlier era.
+    void applyReleased(Topic topic);
+    RecordPosition nextPosition(Topic topic) const;
     void apply(Topic topic, const std::vector<KeyedRecord> &records);
     void applyOperator(const KeyedRecord &record);
     void applyTarget(const KeyedRecord &record);
@@ -100,7 +105,8 @@
     Callbacks m_callbacks;
     StoreFactory m_storeFactory;
     std::array<bool, allTopics.size()> m_storeUnavailable{}; ///< By topic: whether the store is unavailable.
-    std::array<std::uint64_t, allTopics.size()> m_eras{}; ///< By topic, as the store last answered.
+    std::array<std::uint64_t, allTopics.size()> m_eras{}; ///< By topic, as last applied.
+    MemberRecord m_self;
     std::optional<Clock::TimePoint> m_targetsRecovered; ///< When the store last became available again for the targets topic.
     /// Deferred removals of targets whose records were missing when the store became available again.
     std::map<std::string, Removal> m_deferredRemovals;
--- a/Source/Fleet/FleetTable.cpp
+++ b/Source/Fleet/FleetTable.cpp
@@ -37,32 +37,32 @@
 
 FleetTable::~FleetTable() = default;
 
-bool FleetTable::update(const TargetRecord &record, std::uint64_t offset, Clock::TimePoint now)
+bool FleetTable::update(const TargetRecord &record, RecordPosition position, Clock::TimePoint now)
 {
     const std::scoped_lock lock(m_mutex);
     const auto it = m_targets.find(record.id);
     if (it == m_targets.end()) {
-        FleetTarget &target = m_targets.emplace(record.id, FleetTarget(record, offset, now)).first->second;
+        FleetTarget &target = m_targets.emplace(record.id, FleetTarget(record, position, now)).first->second;
         if (const auto unlisted = m_unlisted.find(record.id); unlisted != m_unlisted.end()) {
             target.availability() = unlisted->second;
             target.availability().setStartTime(record.startTime);
         }
         return true;
     }
-    if (offset <= it->second.offset()) {
+    if (position <= it->second.position()) {
         return false;
     }
     const TargetRecord &before = it->second.record();
     const bool changed = before.draining != record.draining || before.startTime != record.startTime || before.address != record.address;
-    it->second.update(record, offset, now);
+    it->second.update(record, position, now);
     return changed;
 }
 
-bool FleetTable::remove(const std::string &id, std::uint64_t offset)
+bool FleetTable::remove(const std::string &id, RecordPosition position)
 {
     const std::scoped_lock lock(m_mutex);
     const auto it = m_targets.find(id);
-    if (it == m_targets.end() || offset < it->second.offset()) {
+    if (it == m_targets.end() || position < it->second.position()) {
         return false;
     }
     if (it->second.availability().hasStatements()) {
--- a/Source/Fleet/FleetTable.h
+++ b/Source/Fleet/FleetTable.h
@@ -34,10 +34,10 @@
 
     /// Adds a target or applies its record if that is newer. Returns whether the target is new or its state, address or start time has
     /// changed.
-    bool update(const TargetRecord &record, std::uint64_t offset, Clock::TimePoint now);
+    bool update(const TargetRecord &record, RecordPosition position, Clock::TimePoint now);
 
-    /// Removes a target unless its record is newer than the offset. Returns whether it was removed.
-    bool remove(const std::string &id, std::uint64_t offset);
+    /// Removes a target unless its record is newer than the position. Returns whether it was removed.
+    bool remove(const std::string &id, RecordPosition position);
 
     /// Marks a target whose record is missing after an outage of the store. Until the given time, it is selected only if no other target
     /// is available.
--- a/Source/Fleet/FleetTarget.cpp
+++ b/Source/Fleet/FleetTarget.cpp
@@ -23,10 +23,10 @@
 
 } // namespace
 
-FleetTarget::FleetTarget(TargetRecord record, std::uint64_t offset, Clock::TimePoint now)
+FleetTarget::FleetTarget(TargetRecord record, RecordPosition position, Clock::TimePoint now)
     : m_record(std::move(record))
     , m_availability(m_record.startTime)
-    , m_offset(offset)
+    , m_position(position)
     , m_loadTime(now)
     , m_coldUntil(now + m_record.coldRemaining)
     , m_suspectUntil(now)
@@ -34,7 +34,7 @@
 {
 }
 
-void FleetTarget::update(TargetRecord record, std::uint64_t offset, Clock::TimePoint now)
+void FleetTarget::update(TargetRecord record, RecordPosition position, Clock::TimePoint now)
 {
     if (record.startTime != m_record.startTime) {
         m_health = 1.0;
@@ -47,7 +47,7 @@
     // time.
     m_coldUntil = std::max(m_coldUntil, now + record.coldRemaining);
     m_record = std::move(record);
-    m_offset = offset;
+    m_position = position;
     m_missingUntil = {};
 }
 
@@ -167,9 +167,9 @@
     return m_record;
 }
 
-std::uint64_t FleetTarget::offset() const
+RecordPosition FleetTarget::position() const
 {
-    return m_offset;
+    return m_position;
 }
 
 } // namespace Guavalock
--- a/Source/Fleet/FleetTarget.h
+++ b/Source/Fleet/FleetTarget.h
@@ -2,6 +2,7 @@
 
 #include "Decisions/TargetAvailability.h"
 #include "Fleet/AttemptReport.h"
+#include "Fleet/RecordPosition.h"
 #include "Fleet/SlidingWindowCounter.h"
 #include "Fleet/TargetRecord.h"
 #include "Kernel/Clock.h"
@@ -15,10 +16,10 @@
 class FleetTarget
 {
 public:
-    FleetTarget(TargetRecord record, std::uint64_t offset, Clock::TimePoint now);
+    FleetTarget(TargetRecord record, RecordPosition position, Clock::TimePoint now);
 
     /// Applies a newer record.
-    void update(TargetRecord record, std::uint64_t offset, Clock::TimePoint now);
+    void update(TargetRecord record, RecordPosition position, Clock::TimePoint now);
 
     /// Counts a request as sent to the target.
     void recordRequest(std::size_t promptTokens, Clock::TimePoint now);
@@ -59,14 +60,14 @@
     const TargetAvailability &availability() const;
 
     const TargetRecord &record() const;
-    std::uint64_t offset() const;
+    RecordPosition position() const;
 
 private:
     void recordHealth(bool good);
 
     TargetRecord m_record;
     TargetAvailability m_availability;
-    std::uint64_t m_offset;
+    RecordPosition m_position;
     std::size_t m_outstanding = 0;
     std::size_t m_promptTokens = 0; ///< Of requests whose response has not started.
     double m_remoteLoad = 0; ///< Requests of other daemons at the target, as of m_loadTime.
--- a/Source/Fleet/RecordCodec.h
+++ b/Source/Fleet/RecordCodec.h
@@ -2,7 +2,9 @@
 
 #include "Fleet/MemberRecord.h"
 #include "Fleet/OperatorChange.h"
+#include "Fleet/RecordRevision.h"
 #include "Fleet/TargetRecord.h"
+#include "Fleet/Topic.h"
 #include "Kernel/Reason.h"
 
 #include <optional>
@@ -26,6 +28,9 @@
 
     virtual std::optional<MemberRecord> member(const std::string &key, const std::string &value, Reason &reason) const = 0;
 
+    /// Returns the revision that a value states, or nothing.
+    virtual std::optional<RecordRevision> revision(Topic topic, const std::string &key, const std::string &value) const = 0;
+
     virtual std::string memberText(const MemberRecord &member) const = 0;
 };
 
--- a/Source/Mesh/Generated/Mesh_generated.h
+++ b/Source/Mesh/Generated/Mesh_generated.h
@@ -46,6 +46,9 @@
 struct Record;
 struct RecordBuilder;
 
+struct HeldRecord;
+struct HeldRecordBuilder;
+
 struct Records;
 struct RecordsBuilder;
 
@@ -885,7 +888,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TOPIC = 4,
-    VT_FROM = 6
+    VT_FROM = 6,
+    VT_ERA = 8
   };
   uint8_t topic() const {
     return GetField<uint8_t>(VT_TOPIC, 0);
@@ -893,10 +897,14 @@
   uint64_t from() const {
     return GetField<uint64_t>(VT_FROM, 0);
   }
+  uint64_t era() const {
+    return GetField<uint64_t>(VT_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_TOPIC, 1) &&
            VerifyField<uint64_t>(verifier, VT_FROM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
            verifier.EndTable();
   }
 };
@@ -911,6 +919,9 @@
   void add_from(uint64_t from) {
     fbb_.AddElement<uint64_t>(RecordsRequest::VT_FROM, from, 0);
   }
+  void add_era(uint64_t era) {
+    fbb_.AddElement<uint64_t>(RecordsRequest::VT_ERA, era, 0);
+  }
   explicit RecordsRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -925,8 +936,10 @@
 inline flatbuffers::Offset<RecordsRequest> CreateRecordsRequest(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint8_t topic = 0,
-    uint64_t from = 0) {
+    uint64_t from = 0,
+    uint64_t era = 0) {
   RecordsRequestBuilder builder_(_fbb);
+  builder_.add_era(era);
   builder_.add_from(from);
   builder_.add_topic(topic);
   return builder_.Finish();
@@ -1020,6 +1033,64 @@
       offset);
 }
 
+struct HeldRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef HeldRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_RECORD = 4,
+    VT_LEFT_US = 6
+  };
+  const Guavalock::MeshWire::Record *record() const {
+    return GetPointer<const Guavalock::MeshWire::Record *>(VT_RECORD);
+  }
+  int64_t left_us() const {
+    return GetField<int64_t>(VT_LEFT_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_RECORD) &&
+           verifier.VerifyTable(record()) &&
+           VerifyField<int64_t>(verifier, VT_LEFT_US, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct HeldRecordBuilder {
+  typedef HeldRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_record(flatbuffers::Offset<Guavalock::MeshWire::Record> record) {
+    fbb_.AddOffset(HeldRecord::VT_RECORD, record);
+  }
+  void add_left_us(int64_t left_us) {
+    fbb_.AddElement<int64_t>(HeldRecord::VT_LEFT_US, left_us, 0);
+  }
+  explicit HeldRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<HeldRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<HeldRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<HeldRecord> CreateHeldRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<Guavalock::MeshWire::Record> record = 0,
+    int64_t left_us = 0) {
+  HeldRecordBuilder builder_(_fbb);
+  builder_.add_left_us(left_us);
+  builder_.add_record(record);
+  return builder_.Finish();
+}
+
+struct HeldRecord::Traits {
+  using type = HeldRecord;
+  static auto constexpr Create = CreateHeldRecord;
+};
+
 struct Records FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef RecordsBuilder Builder;
   struct Traits;
@@ -1028,7 +1099,9 @@
     VT_NEXT = 6,
     VT_RECORDS = 8,
     VT_AGE_US = 10,
-    VT_COMPLETE = 12
+    VT_COMPLETE = 12,
+    VT_ERA = 14,
+    VT_HELD = 16
   };
   uint8_t topic() const {
     return GetField<uint8_t>(VT_TOPIC, 0);
@@ -1045,6 +1118,12 @@
   bool complete() const {
     return GetField<uint8_t>(VT_COMPLETE, 0) != 0;
   }
+  uint64_t era() const {
+    return GetField<uint64_t>(VT_ERA, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<Guavalock::MeshWire::HeldRecord>> *held() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Guavalock::MeshWire::HeldRecord>> *>(VT_HELD);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_TOPIC, 1) &&
@@ -1054,6 +1133,10 @@
            verifier.VerifyVectorOfTables(records()) &&
            VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
            VerifyField<uint8_t>(verifier, VT_COMPLETE, 1) &&
+           VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
+           VerifyOffset(verifier, VT_HELD) &&
+           verifier.VerifyVector(held()) &&
+           verifier.VerifyVectorOfTables(held()) &&
            verifier.EndTable();
   }
 };
@@ -1077,6 +1160,12 @@
   void add_complete(bool complete) {
     fbb_.AddElement<uint8_t>(Records::VT_COMPLETE, static_cast<uint8_t>(complete), 0);
   }
+  void add_era(uint64_t era) {
+    fbb_.AddElement<uint64_t>(Records::VT_ERA, era, 0);
+  }
+  void add_held(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Guavalock::MeshWire::HeldRecord>>> held) {
+    fbb_.AddOffset(Records::VT_HELD, held);
+  }
   explicit RecordsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1094,10 +1183,14 @@
     uint64_t next = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Guavalock::MeshWire::Record>>> records = 0,
     int64_t age_us = 0,
-    bool complete = false) {
+    bool complete = false,
+    uint64_t era = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Guavalock::MeshWire::HeldRecord>>> held = 0) {
   RecordsBuilder builder_(_fbb);
+  builder_.add_era(era);
   builder_.add_age_us(age_us);
   builder_.add_next(next);
+  builder_.add_held(held);
   builder_.add_records(records);
   builder_.add_complete(complete);
   builder_.add_topic(topic);
@@ -1115,15 +1208,20 @@
     uint64_t next = 0,
     const std::vector<flatbuffers::Offset<Guavalock::MeshWire::Record>> *records = nullptr,
     int64_t age_us = 0,
-    bool complete = false) {
+    bool complete = false,
+    uint64_t era = 0,
+    const std::vector<flatbuffers::Offset<Guavalock::MeshWire::HeldRecord>> *held = nullptr) {
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<Guavalock::MeshWire::Record>>(*records) : 0;
+  auto held__ = held ? _fbb.CreateVector<flatbuffers::Offset<Guavalock::MeshWire::HeldRecord>>(*held) : 0;
   return Guavalock::MeshWire::CreateRecords(
       _fbb,
       topic,
       next,
       records__,
       age_us,
-      complete);
+      complete,
+      era,
+      held__);
 }
 
 struct Roster FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Source/Mesh/MeshCodec.cpp
+++ b/Source/Mesh/MeshCodec.cpp
@@ -67,6 +67,16 @@
                                  microsecondsTo(piece.deadline, now), piece.refusable);
 }
 
+flatbuffers::Offset<MeshWire::Record> encodeRecord(Builder &builder, const KeyedRecord &record)
+{
+    flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> value;
+    if (record.value) {
+        value = builder.CreateVector(reinterpret_cast<const std::uint8_t *>(record.value->data()), record.value->size());
+    }
+    const auto key = builder.CreateString(record.key);
+    return MeshWire::CreateRecord(builder, key, value, record.offset);
+}
+
 Piece decodePiece(const MeshWire::Piece &wire, Clock::TimePoint now)
 {
     Piece piece;
@@ -171,11 +181,20 @@
         return false;
     }
     if (handlers.recordsRequest) {
-        handlers.recordsRequest(static_cast<Topic>(wire.topic()), wire.from());
+        handlers.recordsRequest(static_cast<Topic>(wire.topic()), {wire.era(), wire.from()});
     }
     return true;
 }
 
+KeyedRecord decodeRecord(const MeshWire::Record &wire, std::uint64_t era)
+{
+    KeyedRecord record{text(wire.key()), std::nullopt, wire.offset(), era};
+    if (wire.value() != nullptr) {
+        record.value.emplace(wire.value()->begin(), wire.value()->end());
+    }
+    return record;
+}
+
 bool decodeRecords(const MeshWire::Frame &frame, Clock::TimePoint now, const MeshHandlers &handlers)
 {
     const MeshWire::Records &wire = *frame.body_as_Records();
@@ -187,13 +206,17 @@
     update.next = wire.next();
     update.complete = wire.complete();
     update.confirmed = timeBefore(wire.age_us(), now);
+    update.era = wire.era();
     if (wire.records() != nullptr) {
         for (const MeshWire::Record *it : *wire.records()) {
-            KeyedRecord record{text(it->key()), std::nullopt, it->offset()};
-            if (it->value() != nullptr) {
-                record.value.emplace(it->value()->begin(), it->value()->end());
+            update.records.push_back(decodeRecord(*it, update.era));
+        }
+    }
+    if (wire.held() != nullptr) {
+        for (const MeshWire::HeldRecord *it : *wire.held()) {
+            if (it->record() != nullptr) {
+                update.held.push_back({decodeRecord(*it->record(), update.era), timeFromNow(it->left_us(), now)});
             }
-            update.records.push_back(std::move(record));
         }
     }
     if (handlers.records) {
@@ -314,10 +337,10 @@
     return finish(builder, MeshWire::Body::Release, MeshWire::CreateRelease(builder, list).Union());
 }
 
-MeshCodec::Bytes MeshCodec::recordsRequest(Topic topic, std::uint64_t from)
+MeshCodec::Bytes MeshCodec::recordsRequest(Topic topic, RecordPosition from)
 {
     Builder builder(firstBufferBytes);
-    const auto body = MeshWire::CreateRecordsRequest(builder, static_cast<std::uint8_t>(topic), from);
+    const auto body = MeshWire::CreateRecordsRequest(builder, static_cast<std::uint8_t>(topic), from.offset, from.era);
     return finish(builder, MeshWire::Body::RecordsRequest, body.Union());
 }
 
@@ -327,15 +350,14 @@
     std::vector<flatbuffers::Offset<MeshWire::Record>> list;
     list.reserve(update.records.size());
     for (const KeyedRecord &it : update.records) {
-        flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> value;
-        if (it.value) {
-            value = builder.CreateVector(reinterpret_cast<const std::uint8_t *>(it.value->data()), it.value->size());
-        }
-        const auto key = builder.CreateString(it.key);
-        list.push_back(MeshWire::CreateRecord(builder, key, value, it.offset));
+        list.push_back(encodeRecord(builder, it));
+    }
+    std::vector<flatbuffers::Offset<MeshWire::HeldRecord>> held;
+    for (const auto &[record, until] : update.held) {
+        held.push_back(MeshWire::CreateHeldRecord(builder, encodeRecord(builder, record), microsecondsTo(until, now)));
     }
     const auto body = MeshWire::CreateRecordsDirect(builder, static_cast<std::uint8_t>(update.topic), update.next, &list,
-                                                    microsecondsTo(now, update.confirmed), update.complete);
+                                                    microsecondsTo(now, update.confirmed), update.complete, update.era, &held);
     return finish(builder, MeshWire::Body::Records, body.Union());
 }
 
--- a/Source/Mesh/MeshCodec.h
+++ b/Source/Mesh/MeshCodec.h
@@ -21,7 +21,7 @@
     static Bytes results(const std::vector<PieceResult> &results);
     static Bytes cancel(const std::string &requestId);
     static Bytes release(const std::vector<std::string> &handles);
-    static Bytes recordsRequest(Topic topic, std::uint64_t from);
+    static Bytes recordsRequest(Topic topic, RecordPosition from);
     static Bytes records(const RecordUpdate &update, Clock::TimePoint now);
     static Bytes roster(const Roster &roster);
     static Bytes evidence(const Evidence &evidence, Clock::TimePoint now);
--- a/Source/Mesh/MeshNetwork.cpp
+++ b/Source/Mesh/MeshNetwork.cpp
@@ -214,7 +214,7 @@
         m_callbacks.cancel(*vm, requestId);
     };
     handlers.release = m_callbacks.release;
-    handlers.recordsRequest = [this, vm](Topic topic, std::uint64_t from) {
+    handlers.recordsRequest = [this, vm](Topic topic, RecordPosition from) {
         m_callbacks.recordsRequest(*vm, topic, from);
     };
     handlers.records = m_callbacks.records;
@@ -297,7 +297,7 @@
     send(vm, MeshCodec::release(handles));
 }
 
-void MeshNetwork::requestRecords(Topic topic, std::uint64_t from)
+void MeshNetwork::requestRecords(Topic topic, RecordPosition from)
 {
     const std::scoped_lock lock(m_mutex);
     std::vector<const Link *> links;
@@ -311,7 +311,7 @@
     }
 }
 
-bool MeshNetwork::requestRecordsFrom(const std::string &vm, Topic topic, std::uint64_t from)
+bool MeshNetwork::requestRecordsFrom(const std::string &vm, Topic topic, RecordPosition from)
 {
     return send(vm, MeshCodec::recordsRequest(topic, from));
 }
--- a/Source/Mesh/MeshNetwork.h
+++ b/Source/Mesh/MeshNetwork.h
@@ -33,7 +33,7 @@
         std::function<void(const std::string &vm, std::vector<PieceResult>)> results;
         std::function<void(const std::string &vm, const std::string &requestId)> cancel;
         std::function<void(std::vector<std::string> handles)> release;
-        std::function<void(const std::string &vm, Topic, std::uint64_t from)> recordsRequest;
+        std::function<void(const std::string &vm, Topic, RecordPosition from)> recordsRequest;
         std::function<void(RecordUpdate)> records;
         std::function<void(Evidence)> evidence;
         std::function<void(const std::string &vm)> linked; ///< A link to a daemon has been added.
@@ -60,10 +60,10 @@
     void sendFree(const std::string &vm, const std::vector<std::string> &handles) override;
 
     /// Requests the records of a topic from some of the linked daemons.
-    void requestRecords(Topic topic, std::uint64_t from);
+    void requestRecords(Topic topic, RecordPosition from);
 
     /// Requests the records of a topic from one daemon. Returns false if it is not linked.
-    bool requestRecordsFrom(const std::string &vm, Topic topic, std::uint64_t from);
+    bool requestRecordsFrom(const std::string &vm, Topic topic, RecordPosition from);
 
     void sendRecords(const std::string &vm, const RecordUpdate &update);
 
--- a/Source/Site/SiteDaemon.cpp
+++ b/Source/Site/SiteDaemon.cpp
@@ -84,7 +84,9 @@
     , m_connections(std::make_unique<ConnectionTable>(m_pool->executor()))
     , m_connectionShare(std::make_unique<IdleConnectionLimit>())
     , m_retryBudget(std::make_unique<FleetRetryBudget>(m_settings.retryLimits))
-    , m_mirror(std::make_unique<RecordMirror>())
+    , m_mirror(std::make_unique<RecordMirror>([this](Topic topic, const std::string &key, const std::string &value) {
+        return m_site.recordCodec().revision(topic, key, value);
+    }))
     , m_membership(std::make_unique<FleetMembership>(withIncarnation(m_settings.self)))
     , m_mesh(std::make_unique<MeshNetwork>(m_pool->executor(), m_clock, *m_membership))
     , m_quarantines(std::make_unique<QuarantineTable>(
@@ -196,7 +198,7 @@
     callbacks.release = [this](std::vector<std::string> handles) {
         m_batchDispatcher->free(std::move(handles));
     };
-    callbacks.recordsRequest = [this](const std::string &vm, Topic topic, std::uint64_t from) {
+    callbacks.recordsRequest = [this](const std::string &vm, Topic topic, RecordPosition from) {
         m_mesh->sendRecords(vm, m_mirror->updateSince(topic, from));
     };
     callbacks.records = [this](const RecordUpdate &update) {
@@ -214,13 +216,13 @@
 void SiteDaemon::startFollower()
 {
     FleetFollower::Callbacks callbacks;
-    callbacks.requestFromPeers = [this](Topic topic, std::uint64_t from) {
+    callbacks.requestFromPeers = [this](Topic topic, RecordPosition from) {
         m_mesh->requestRecords(topic, from);
     };
     callbacks.recordSource = [this](Topic topic) {
         return m_membership->recordSource(topicName(topic), m_clock.now());
     };
-    callbacks.requestFromReader = [this](const std::string &vm, Topic topic, std::uint64_t from) {
+    callbacks.requestFromReader = [this](const std::string &vm, Topic topic, RecordPosition from) {
         return m_mesh->requestRecordsFrom(vm, topic, from);
     };
     callbacks.memberUpdated = [this](const MemberRecord &member) {
--- a/Tests/Fleet/FleetTest.cpp
+++ b/Tests/Fleet/FleetTest.cpp
@@ -8,6 +8,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 namespace Guavalock
 {
 
@@ -19,6 +21,10 @@
     CPPUNIT_TEST(keysMissingFromACompleteUpdateAreDeleted);
     CPPUNIT_TEST(recordsOfAPeerKeepTheirAge);
     CPPUNIT_TEST(deletionsUnknownToThePeerAreDetected);
+    CPPUNIT_TEST(recordsOfANewEraReplaceThoseOfLargerOffsets);
+    CPPUNIT_TEST(olderValuesOfACopyAreNotTaken);
+    CPPUNIT_TEST(ordersWithoutRevisionAreHeldUntilTheyAreWrittenAgain);
+    CPPUNIT_TEST(daemonsThatStartLearnWhatTheCopyLacks);
     CPPUNIT_TEST(coldSharesAddUpToTheRate);
     CPPUNIT_TEST(disjointViewsStayWithinTheColdRate);
     CPPUNIT_TEST(nothingIsSentToColdTargetsWithoutAMemberList);
@@ -118,7 +124,7 @@
         mirror.apply({Topic::Operator, {{"config", "new", 9}}, 10, m_now, false});
         CPPUNIT_ASSERT(mirror.apply({Topic::Operator, {{"config", "old", 4}}, 5, m_now, false}).empty());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(10), mirror.progress(Topic::Operator).next);
-        CPPUNIT_ASSERT_EQUAL(std::string("new"), *mirror.updateSince(Topic::Operator, 0).records.front().value);
+        CPPUNIT_ASSERT_EQUAL(std::string("new"), *mirror.updateSince(Topic::Operator, {0, 0}).records.front().value);
     }
 
     void keysMissingFromACompleteUpdateAreDeleted()
@@ -130,7 +136,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string("a"), changes.back().key);
         CPPUNIT_ASSERT(!changes.back().value);
         // A record written after the complete update was read is not deleted by it.
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), mirror.updateSince(Topic::Targets, 8).records.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), mirror.updateSince(Topic::Targets, {0, 8}).records.size());
     }
 
     void recordsOfAPeerKeepTheirAge()
@@ -142,6 +148,82 @@
         CPPUNIT_ASSERT(mirror.progress(Topic::Targets).confirmed == m_now - Milliseconds(900));
     }
 
+    static std::optional<RecordRevision> revisionOf(Topic, const std::string &key, const std::string &value)
+    {
+        return key.starts_with("evacuate") ? std::nullopt : std::optional(RecordRevision{0, std::stoull(value)});
+    }
+
+    static std::optional<std::string> valueOf(const std::vector<KeyedRecord> &records, const std::string &key)
+    {
+        const auto it = std::ranges::find(records, key, &KeyedRecord::key);
+        return it == records.end() ? std::nullopt : it->value;
+    }
+
+    /// The offsets of the new era are below those that the mirror has seen.
+    void recordsOfANewEraReplaceThoseOfLargerOffsets()
+    {
+        RecordMirror mirror(&FleetTest::revisionOf);
+        mirror.apply({Topic::Operator, {{"config", "11", 3}}, 4, m_now, true, 1, {}});
+        CPPUNIT_ASSERT(mirror.apply({Topic::Operator, {{"config", "14", 3}}, 4, m_now, false, 2, {}}).empty());
+        CPPUNIT_ASSERT(mirror.apply({Topic::Operator, {{"config", "11", 2}}, 3, m_now, true, 2, {}}).empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), mirror.progress(Topic::Operator).next);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), mirror.apply({Topic::Operator, {{"config", "14", 3}}, 4, m_now, false, 2, {}}).size());
+        CPPUNIT_ASSERT(mirror.apply({Topic::Operator, {{"config", "11", 9}}, 10, m_now, true, 1, {}}).empty());
+        CPPUNIT_ASSERT_EQUAL(std::string("14"), *mirror.updateSince(Topic::Operator, {0, 0}).records.front().value);
+    }
+
+    void olderValuesOfACopyAreNotTaken()
+    {
+        RecordMirror mirror(&FleetTest::revisionOf);
+        mirror.apply({Topic::Targets, {{"a", "5", 3}, {"b", "7", 4}, {"c", "2", 1}, {"e", "3", 2}}, 5, m_now, true, 1, {}});
+        mirror.apply({Topic::Targets, {{"a", std::nullopt, 5}, {"d", "1", 6}, {"e", "4", 7}}, 8, m_now, false, 1, {}});
+        // The copy has a target that has left and an older record of another, and lacks one that has come.
+        const auto changes
+            = mirror.apply({Topic::Targets, {{"a", "5", 3}, {"b", "9", 6}, {"c", "2", 1}, {"e", "3", 2}}, 7, m_now, true, 2, {}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), changes.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("9"), *valueOf(changes, "b"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), mirror.heldKeys(Topic::Targets).size());
+        CPPUNIT_ASSERT(mirror.releaseHeld(Topic::Targets, m_now + RecordMirror::rewriteTime - Milliseconds(1)).empty());
+        const auto released = mirror.releaseHeld(Topic::Targets, m_now + RecordMirror::rewriteTime);
+        CPPUNIT_ASSERT_EQUAL(std::string("d"), released.at(0).key);
+        CPPUNIT_ASSERT(!released[0].value);
+        CPPUNIT_ASSERT_EQUAL(std::string("4"), *valueOf(mirror.updateSince(Topic::Targets, {0, 0}).records, "e"));
+        // A target that is written again is taken whatever its offset was.
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), mirror.apply({Topic::Targets, {{"a", "6", 7}, {"d", "2", 8}}, 9, m_now, false, 2, {}}).size());
+    }
+
+    void ordersWithoutRevisionAreHeldUntilTheyAreWrittenAgain()
+    {
+        RecordMirror mirror(&FleetTest::revisionOf);
+        mirror.apply({Topic::Operator, {{"evacuate/a", "{}", 1}, {"evacuate/b", "{}", 5}, {"evacuate/c", "{}", 2}}, 6, m_now, true, 1, {}});
+        mirror.apply({Topic::Operator, {{"evacuate/a", std::nullopt, 6}}, 7, m_now, false, 1, {}});
+        // The end of one evacuation and the order of another are lost.
+        CPPUNIT_ASSERT(mirror.apply({Topic::Operator, {{"evacuate/a", "{}", 1}, {"evacuate/c", "{}", 2}}, 3, m_now, true, 2, {}}).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), mirror.heldKeys(Topic::Operator).size());
+        mirror.apply({Topic::Operator, {{"evacuate/b", "{}", 3}}, 4, m_now, false, 2, {}});
+        const auto released = mirror.releaseHeld(Topic::Operator, m_now + RecordMirror::rewriteTime);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), released.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("evacuate/a"), released[0].key);
+        CPPUNIT_ASSERT(released[0].value);
+    }
+
+    void daemonsThatStartLearnWhatTheCopyLacks()
+    {
+        RecordMirror old(&FleetTest::revisionOf);
+        old.apply({Topic::Targets, {{"a", "5", 3}, {"b", "7", 4}}, 5, m_now, true, 1, {}});
+        old.apply({Topic::Targets, {{"a", "4", 1}}, 2, m_now, true, 2, {}});
+        RecordMirror young(&FleetTest::revisionOf);
+        const auto learned = young.apply(old.updateSince(Topic::Targets, {0, 0}));
+        CPPUNIT_ASSERT_EQUAL(std::string("5"), *valueOf(learned, "a"));
+        CPPUNIT_ASSERT_EQUAL(std::string("7"), *valueOf(learned, "b"));
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), young.releaseHeld(Topic::Targets, m_now + RecordMirror::rewriteTime).at(0).key);
+        // A daemon that knows more decides for itself what it holds.
+        RecordMirror other(&FleetTest::revisionOf);
+        other.apply({Topic::Targets, {{"c", "1", 4}}, 5, m_now, true, 1, {}});
+        other.apply(old.updateSince(Topic::Targets, {1, 5}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), other.heldKeys(Topic::Targets).size());
+    }
+
     /// A daemon that has just started reads only the latest records, so it never received earlier deletions. If another daemon then reads
     /// through it, targets that were deleted before must still be removed there.
     void deletionsUnknownToThePeerAreDetected()
@@ -150,15 +232,15 @@
         old.apply({Topic::Targets, {{"gone", "1", 3}, {"kept", "1", 4}}, 5, m_now, false});
         RecordMirror young;
         young.apply({Topic::Targets, {{"kept", "1", 4}, {"new", "1", 7}}, 8, m_now, true});
-        const RecordUpdate update = young.updateSince(Topic::Targets, 5);
+        const RecordUpdate update = young.updateSince(Topic::Targets, {0, 5});
         CPPUNIT_ASSERT(update.complete);
         const auto changes = old.apply(update);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), changes.size());
         CPPUNIT_ASSERT(changes[0].key == "new" && changes[1].key == "gone" && !changes[1].value);
         // Later deletions are known, so updates from here on are incremental.
         young.apply({Topic::Targets, {{"kept", std::nullopt, 8}}, 9, m_now, false});
-        CPPUNIT_ASSERT(!young.updateSince(Topic::Targets, 8).complete);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), young.updateSince(Topic::Targets, 8).records.size());
+        CPPUNIT_ASSERT(!young.updateSince(Topic::Targets, {0, 8}).complete);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), young.updateSince(Topic::Targets, {0, 8}).records.size());
     }
 
     void coldSharesAddUpToTheRate()
@@ -199,7 +281,7 @@
         FleetTable fleet("vm");
         TargetRecord cold = target("t1");
         cold.coldRemaining = Milliseconds(3'000);
-        fleet.update(cold, 1, m_now);
+        fleet.update(cold, {0, 1}, m_now);
         CPPUNIT_ASSERT(!choose(fleet, requirements()));
         fleet.setSenders({"vm"});
         std::size_t sent = 0;
@@ -217,22 +299,22 @@
     void drainingAndEvacuatedTargetsAreNotChosen()
     {
         FleetTable fleet("vm");
-        fleet.update(target("t1"), 1, m_now);
-        fleet.update(target("t2", "south"), 2, m_now);
+        fleet.update(target("t1"), {0, 1}, m_now);
+        fleet.update(target("t2", "south"), {0, 2}, m_now);
         fleet.setEvacuated("south", true, m_now);
         CPPUNIT_ASSERT_EQUAL(std::string("t1"), choose(fleet, requirements())->id);
         TargetRecord draining = target("t1");
         draining.draining = true;
-        CPPUNIT_ASSERT(fleet.update(draining, 3, m_now));
+        CPPUNIT_ASSERT(fleet.update(draining, {0, 3}, m_now));
         CPPUNIT_ASSERT(!choose(fleet, requirements()));
-        CPPUNIT_ASSERT(!fleet.update(target("t1"), 2, m_now));
+        CPPUNIT_ASSERT(!fleet.update(target("t1"), {0, 2}, m_now));
         CPPUNIT_ASSERT(!choose(fleet, requirements()));
     }
 
     void targetsCountAsColdAfterAnEvacuation()
     {
         FleetTable fleet("vm");
-        fleet.update(target("t1", "south"), 1, m_now);
+        fleet.update(target("t1", "south"), {0, 1}, m_now);
         fleet.setEvacuated("south", true, m_now);
         fleet.setEvacuated("south", false, m_now);
         CPPUNIT_ASSERT(!choose(fleet, requirements()));
@@ -242,8 +324,8 @@
     void missingTargetsAreUsedOnlyAsAFallback()
     {
         FleetTable fleet("vm");
-        fleet.update(target("t1"), 1, m_now);
-        fleet.update(target("t2"), 2, m_now);
+        fleet.update(target("t1"), {0, 1}, m_now);
+        fleet.update(target("t2"), {0, 2}, m_now);
         const auto until = m_now + Milliseconds(2'000);
         fleet.markMissing("t1", until);
         for (int it = 0; it < 20; ++it) {
@@ -253,7 +335,7 @@
         fleet.markMissing("t2", until);
         CPPUNIT_ASSERT(choose(fleet, requirements()).has_value());
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), fleet.availableTargets("model", m_now).size());
-        fleet.update(target("t1"), 3, m_now);
+        fleet.update(target("t1"), {0, 3}, m_now);
         CPPUNIT_ASSERT_EQUAL(std::string("t1"), choose(fleet, requirements())->id);
     }
 
@@ -261,8 +343,8 @@
     {
         FleetTable fleet("vm");
         fleet.setSenders({"vm"});
-        fleet.update(target("t1"), 1, m_now);
-        fleet.update(target("t2"), 2, m_now);
+        fleet.update(target("t1"), {0, 1}, m_now);
+        fleet.update(target("t2"), {0, 2}, m_now);
         fleet.recordAttempt("t1", {AttemptReport::Outcome::ConnectionLost, {}, std::nullopt}, Milliseconds(0), m_now);
         for (int it = 0; it < 10; ++it) {
             CPPUNIT_ASSERT_EQUAL(std::string("t2"), choose(fleet, requirements(7))->id);
@@ -273,8 +355,8 @@
     void partlyFailingTargetsGetFewerRequests()
     {
         FleetTable fleet("vm");
-        fleet.update(target("t1"), 1, m_now);
-        fleet.update(target("t2"), 2, m_now);
+        fleet.update(target("t1"), {0, 1}, m_now);
+        fleet.update(target("t2"), {0, 2}, m_now);
         std::map<std::string, int> sent;
         for (int it = 0; it < 200; ++it) {
             const auto pick = choose(fleet, requirements());
@@ -291,8 +373,8 @@
         FleetTable here("vm-1");
         FleetTable there("vm-2");
         for (const std::string id : {"t1", "t2", "t3", "t4"}) {
-            here.update(target(id), 1, m_now);
-            there.update(target(id), 1, m_now);
+            here.update(target(id), {0, 1}, m_now);
+            there.update(target(id), {0, 1}, m_now);
         }
         std::set<std::string> used;
         for (std::uint64_t it = 1; it < 40; ++it) {
@@ -308,9 +390,9 @@
     void warmRecordsDoNotShortenTheColdTime()
     {
         FleetTable fleet("vm");
-        fleet.update(target("t1"), 1, m_now);
+        fleet.update(target("t1"), {0, 1}, m_now);
         fleet.markAllCold(m_now);
-        fleet.update(target("t1"), 2, m_now);
+        fleet.update(target("t1"), {0, 2}, m_now);
         CPPUNIT_ASSERT(!choose(fleet, requirements()));
     }
 
@@ -351,7 +433,7 @@
     void limitedTargetsGetNoMoreThanTheirLimit()
     {
         FleetTable fleet("vm");
-        fleet.update(target("t1"), 1, m_now);
+        fleet.update(target("t1"), {0, 1}, m_now);
         CPPUNIT_ASSERT(recordStatement(fleet, "t1", {false, std::nullopt, 1.0}));
         // While the other daemons are not known, nothing is sent.
         CPPUNIT_ASSERT(fleet.timeUntilAvailable(requirements(), m_now) == Clock::Duration::max());
@@ -364,12 +446,12 @@
             n += choose(fleet, requirements()) ? 1 : 0;
         }
         CPPUNIT_ASSERT(n == 60);
-        fleet.update(target("t2"), 1, m_now);
+        fleet.update(target("t2"), {0, 1}, m_now);
         CPPUNIT_ASSERT(!fleet.timeUntilAvailable(requirements(), m_now));
         CPPUNIT_ASSERT_EQUAL(std::string("t2"), choose(fleet, requirements())->id);
         CPPUNIT_ASSERT(recordStatement(fleet, "t1", {false, std::nullopt, AvailabilityStatement::unlimited}));
         fleet.setEvacuated("none", false, m_now);
-        fleet.remove("t2", 9);
+        fleet.remove("t2", {0, 9});
         CPPUNIT_ASSERT_EQUAL(std::string("t1"), choose(fleet, requirements())->id);
         CPPUNIT_ASSERT_EQUAL(std::string("t1"), choose(fleet, requirements())->id);
     }
@@ -378,7 +460,7 @@
     {
         FleetTable fleet("vm");
         fleet.setSenders({"vm"});
-        fleet.update(target("t1"), 1, m_now);
+        fleet.update(target("t1"), {0, 1}, m_now);
         recordStatement(fleet, "t1", {false, std::nullopt, 1.0});
         TargetRequirements urgent = requirements();
         urgent.requestId = "urgent";
@@ -404,11 +486,11 @@
         const LimitReport report{"t1", Milliseconds(5), 1.0, m_now};
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.mergeLimits({report}, m_now).size());
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), fleet.mergeLimits({report}, m_now).size());
-        fleet.update(startedAt("t1", Milliseconds(5)), 1, m_now);
+        fleet.update(startedAt("t1", Milliseconds(5)), {0, 1}, m_now);
         CPPUNIT_ASSERT(fleet.isLimited("t1"));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.limitSnapshot().size());
         CPPUNIT_ASSERT(fleet.takeLimitNews().empty());
-        fleet.update(startedAt("t1", Milliseconds(6)), 2, m_now);
+        fleet.update(startedAt("t1", Milliseconds(6)), {0, 2}, m_now);
         CPPUNIT_ASSERT(!fleet.isLimited("t1"));
         CPPUNIT_ASSERT(fleet.mergeLimits({report}, m_now).empty());
         CPPUNIT_ASSERT(recordStatement(fleet, "t1", {false, std::nullopt, 2.0}, Milliseconds(6)));
@@ -419,8 +501,8 @@
     void leavingTargetsAreNeverChosen()
     {
         FleetTable fleet("vm");
-        fleet.update(target("t1"), 1, m_now);
-        fleet.update(target("t2", "south"), 2, m_now);
+        fleet.update(target("t1"), {0, 1}, m_now);
+        fleet.update(target("t2", "south"), {0, 2}, m_now);
         CPPUNIT_ASSERT(recordStatement(fleet, "t1", {true, std::nullopt}));
         for (int it = 0; it < 20; ++it) {
             CPPUNIT_ASSERT_EQUAL(std::string("t2"), choose(fleet, requirements(it))->id);
@@ -438,18 +520,18 @@
     void onlyANewerIncarnationBringsALeavingTargetBack()
     {
         FleetTable fleet("vm");
-        fleet.update(startedAt("t1", Milliseconds(5)), 1, m_now);
+        fleet.update(startedAt("t1", Milliseconds(5)), {0, 1}, m_now);
         recordStatement(fleet, "t1", {true, std::nullopt}, Milliseconds(5));
-        fleet.update(startedAt("t1", Milliseconds(5)), 2, m_now);
+        fleet.update(startedAt("t1", Milliseconds(5)), {0, 2}, m_now);
         CPPUNIT_ASSERT(!choose(fleet, requirements()));
-        fleet.remove("t1", 3);
-        fleet.update(startedAt("t1", Milliseconds(5)), 4, m_now);
+        fleet.remove("t1", {0, 3});
+        fleet.update(startedAt("t1", Milliseconds(5)), {0, 4}, m_now);
         CPPUNIT_ASSERT(!choose(fleet, requirements()));
         // The statement arrives after the record has been removed.
         recordStatement(fleet, "t3", {true, std::nullopt}, Milliseconds(5));
-        fleet.update(startedAt("t3", Milliseconds(5)), 5, m_now);
+        fleet.update(startedAt("t3", Milliseconds(5)), {0, 5}, m_now);
         CPPUNIT_ASSERT(!choose(fleet, requirements()));
-        fleet.update(startedAt("t1", Milliseconds(6)), 6, m_now);
+        fleet.update(startedAt("t1", Milliseconds(6)), {0, 6}, m_now);
         CPPUNIT_ASSERT_EQUAL(std::string("t1"), choose(fleet, requirements())->id);
         CPPUNIT_ASSERT(!recordStatement(fleet, "t1", {true, std::nullopt}, Milliseconds(5)));
         CPPUNIT_ASSERT(choose(fleet, requirements()).has_value());
@@ -457,22 +539,22 @@
         CPPUNIT_ASSERT(recordStatement(fleet, "t4", {true, std::nullopt}, Milliseconds(5)));
         CPPUNIT_ASSERT(recordStatement(fleet, "t4", {true, std::nullopt}, Milliseconds(6)));
         // The store has lost its history and shows an older record again.
-        fleet.update(startedAt("t1", Milliseconds(5)), 7, m_now);
+        fleet.update(startedAt("t1", Milliseconds(5)), {0, 7}, m_now);
         CPPUNIT_ASSERT(choose(fleet, requirements())->startTime == Milliseconds(6));
         // Another target that now uses the address.
         recordStatement(fleet, "t1", {true, std::nullopt}, Milliseconds(6));
         TargetRecord other = target("t2");
         other.address = target("t1").address;
-        fleet.update(other, 8, m_now);
+        fleet.update(other, {0, 8}, m_now);
         CPPUNIT_ASSERT_EQUAL(std::string("t2"), choose(fleet, requirements())->id);
     }
 
     void pausedTargetsAreNotChosenUntilThePauseEnds()
     {
         FleetTable fleet("vm");
-        fleet.update(target("t1"), 1, m_now);
+        fleet.update(target("t1"), {0, 1}, m_now);
         CPPUNIT_ASSERT(recordStatement(fleet, "t1", {false, Milliseconds(900)}));
-        fleet.update(target("t1"), 2, m_now);
+        fleet.update(target("t1"), {0, 2}, m_now);
         m_now += Milliseconds(899);
         CPPUNIT_ASSERT(!choose(fleet, requirements()));
         CPPUNIT_ASSERT(fleet.availableTargets("model", m_now).empty());
@@ -484,16 +566,16 @@
     {
         FleetTable fleet("vm");
         CPPUNIT_ASSERT(!fleet.timeUntilAvailable(requirements(), m_now));
-        fleet.update(target("t1"), 1, m_now);
-        fleet.update(target("t2"), 2, m_now);
-        fleet.update(target("t3", "north", "other"), 3, m_now);
+        fleet.update(target("t1"), {0, 1}, m_now);
+        fleet.update(target("t2"), {0, 2}, m_now);
+        fleet.update(target("t3", "north", "other"), {0, 3}, m_now);
         recordStatement(fleet, "t1", {true, std::nullopt});
         CPPUNIT_ASSERT(!fleet.timeUntilAvailable(requirements(), m_now));
         recordStatement(fleet, "t2", {false, Milliseconds(900)});
         CPPUNIT_ASSERT(fleet.timeUntilAvailable(requirements(), m_now) == Milliseconds(900));
         TargetRecord draining = target("t4");
         draining.draining = true;
-        fleet.update(draining, 4, m_now);
+        fleet.update(draining, {0, 4}, m_now);
         CPPUNIT_ASSERT(fleet.timeUntilAvailable(requirements(), m_now) == Milliseconds(900));
         recordStatement(fleet, "t2", {true, std::nullopt});
         CPPUNIT_ASSERT(fleet.timeUntilAvailable(requirements(), m_now) == Clock::Duration::max());
--- a/Tests/Fleet/FollowerTest.cpp
+++ b/Tests/Fleet/FollowerTest.cpp
@@ -84,7 +84,7 @@
         bool answers = false;
         bool peerReads = false;
         FleetFollower::Callbacks callbacks;
-        callbacks.requestFromPeers = [](Topic, std::uint64_t) {
+        callbacks.requestFromPeers = [](Topic, RecordPosition) {
         };
         callbacks.memberUpdated = [](const MemberRecord &) {
         };
@@ -94,7 +94,7 @@
             return peerReads ? RecordSource{"peer", 1} : RecordSource();
         };
         std::unique_ptr<FleetFollower> follower;
-        callbacks.requestFromReader = [&](const std::string &, Topic topic, std::uint64_t) {
+        callbacks.requestFromReader = [&](const std::string &, Topic topic, RecordPosition) {
             RecordUpdate update{topic, {}, 4, clock.now(), false};
             if (topic == Topic::Targets) {
                 update.records = {{"t1", std::nullopt, 3}};
--- a/Tests/Mesh/MeshTest.cpp
+++ b/Tests/Mesh/MeshTest.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(rostersRoundTrip);
     CPPUNIT_TEST(evidenceRoundTrips);
     CPPUNIT_TEST(malformedLimitsAreRejected);
+    CPPUNIT_TEST(recordsRoundTrip);
     CPPUNIT_TEST(damagedFramesAreRejectedOrHarmless);
     CPPUNIT_TEST(allMembersSelectTheSameOwner);
     CPPUNIT_TEST(silentAndDrainingMembersAreNotOwners);
@@ -158,6 +159,29 @@
         CPPUNIT_ASSERT(all.limits.at(1).requestsPerSecond == AvailabilityStatement::unlimited);
     }
 
+    void recordsRoundTrip()
+    {
+        RecordUpdate update{Topic::Targets, {{"a", "1", 3}, {"b", std::nullopt, 4}}, 5, m_now, true, 2, {}};
+        update.held.push_back({{"c", "2", 4, 2}, m_now + Milliseconds(900)});
+        RecordUpdate received;
+        RecordPosition requested;
+        MeshHandlers handlers;
+        handlers.records = [&](RecordUpdate it) {
+            received = std::move(it);
+        };
+        handlers.recordsRequest = [&](Topic, RecordPosition it) {
+            requested = it;
+        };
+        CPPUNIT_ASSERT(MeshCodec::decode(MeshCodec::records(update, m_now), m_now, handlers));
+        CPPUNIT_ASSERT(received.records.at(0).position() == RecordPosition(2, 3));
+        CPPUNIT_ASSERT(!received.records.at(1).value);
+        CPPUNIT_ASSERT(received.era == 2 && received.complete && received.confirmed == m_now);
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), *received.held.at(0).record.value);
+        CPPUNIT_ASSERT(received.held[0].until == m_now + Milliseconds(900));
+        CPPUNIT_ASSERT(MeshCodec::decode(MeshCodec::recordsRequest(Topic::Targets, {2, 7}), m_now, handlers));
+        CPPUNIT_ASSERT(requested == RecordPosition(2, 7));
+    }
+
     void malformedLimitsAreRejected()
     {
         MeshHandlers handlers;
