--- a/Tests/Site/FuzzTest.cpp
+++ b/Tests/Site/FuzzTest.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(damagedBatchAnswersAreRefusedOrHarmless);
     CPPUNIT_TEST(damagedHeadersAreRefusedOrHarmless);
     CPPUNIT_TEST(eventsKeepTheirBytesHoweverTheyArrive);
+    CPPUNIT_TEST(largeNumbersDoNotWrapAround);
     CPPUNIT_TEST(keptFindings);
     CPPUNIT_TEST_SUITE_END();
 
@@ -176,6 +177,18 @@
         }
     }
 
+    void largeNumbersDoNotWrapAround()
+    {
+        std::string text = configuration();
+        const std::string old = R"([{"service":"m","weight":90},{"service":"n","weight":10}])";
+        text.replace(text.find(old), old.size(), R"([{"service":"n","weight":1},{"service":"m","weight":4294967296}])");
+        Reason reason;
+        const auto change = m_site->recordCodec().operatorChange("config", text, reason);
+        CPPUNIT_ASSERT(change);
+        const auto &catalogue = std::get<std::shared_ptr<const Catalogue>>(*change);
+        CPPUNIT_ASSERT_EQUAL(std::string("m"), catalogue->serviceFor(*catalogue->route("h", "/a/b"), "r1"));
+    }
+
     /// Regression inputs that have caused failures before.
     void keptFindings()
     {
