--- a/Source/Fleet/FleetTable.cpp
+++ b/Source/Fleet/FleetTable.cpp
@@ -49,7 +49,7 @@
         }
         return true;
     }
-    if (position <= it->second.position()) {
+    if (!position.isAfter(it->second.position())) {
         return false;
     }
     const TargetRecord &before = it->second.record();
@@ -62,7 +62,7 @@
 {
     const std::scoped_lock lock(m_mutex);
     const auto it = m_targets.find(id);
-    if (it == m_targets.end() || position < it->second.position()) {
+    if (it == m_targets.end() || it->second.position().isAfter(position)) {
         return false;
     }
     if (it->second.availability().hasStatements()) {
--- a/Source/Fleet/RecordMirror.cpp
+++ b/Source/Fleet/RecordMirror.cpp
@@ -70,7 +70,7 @@
         : deleted != state.deletedRevisions.end()                   ? std::optional(deleted->second)
                                                                     : std::nullopt;
     if (revision && knownRevision) {
-        return *revision > *knownRevision;
+        return revision->isAfter(*knownRevision);
     }
     // The copy is a part of the known history, so a larger offset is newer. A smaller one may have been given out again.
     return record.offset > known.offset ? std::optional(true) : std::nullopt;
--- a/Source/Fleet/RecordPosition.h
+++ b/Source/Fleet/RecordPosition.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
+#include <utility>
 
 namespace Guavalock
 {
@@ -11,7 +11,12 @@
     std::uint64_t era = 0;
     std::uint64_t offset = 0;
 
-    auto operator<=>(const RecordPosition &) const = default;
+    bool operator==(const RecordPosition &) const = default;
+
+    bool isAfter(const RecordPosition &other) const
+    {
+        return std::pair(era, offset) > std::pair(other.era, other.offset);
+    }
 };
 
 } // namespace Guavalock
--- a/Source/Fleet/RecordRevision.h
+++ b/Source/Fleet/RecordRevision.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
+#include <utility>
 
 namespace Guavalock
 {
@@ -11,7 +11,10 @@
     std::uint64_t generation = 0; ///< Of the writer, such as the start of a target.
     std::uint64_t number = 0; ///< Rises with each change within a generation.
 
-    auto operator<=>(const RecordRevision &) const = default;
+    bool isAfter(const RecordRevision &other) const
+    {
+        return std::pair(generation, number) > std::pair(other.generation, other.number);
+    }
 };
 
 } // namespace Guavalock
--- a/Tests/Fuzz/RecordFuzzer.cpp
+++ b/Tests/Fuzz/RecordFuzzer.cpp
@@ -66,6 +66,7 @@
 } // namespace Guavalock
 
 /// Feeds an input to one of the decoders of records. Its first byte selects which.
+// NOLINTNEXTLINE(readability-identifier-naming): the name that the engine calls
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     if (size > 0) {
--- a/Tests/Mesh/MeshTest.cpp
+++ b/Tests/Mesh/MeshTest.cpp
@@ -173,13 +173,13 @@
             requested = it;
         };
         CPPUNIT_ASSERT(MeshCodec::decode(MeshCodec::records(update, m_now), m_now, handlers));
-        CPPUNIT_ASSERT(received.records.at(0).position() == RecordPosition(2, 3));
+        CPPUNIT_ASSERT((received.records.at(0).position() == RecordPosition{2, 3}));
         CPPUNIT_ASSERT(!received.records.at(1).value);
         CPPUNIT_ASSERT(received.era == 2 && received.complete && received.confirmed == m_now);
         CPPUNIT_ASSERT_EQUAL(std::string("2"), *received.held.at(0).record.value);
         CPPUNIT_ASSERT(received.held[0].until == m_now + Milliseconds(900));
         CPPUNIT_ASSERT(MeshCodec::decode(MeshCodec::recordsRequest(Topic::Targets, {2, 7}), m_now, handlers));
-        CPPUNIT_ASSERT(requested == RecordPosition(2, 7));
+        CPPUNIT_ASSERT((requested == RecordPosition{2, 7}));
     }
 
     void malformedLimitsAreRejected()
