Refuse requests before their stages if no target will take them

The statements of targets are known before: a request for which no target becomes available within its latency objective is now refused at once, with the time until one does.

LimitedTargetsTest::stagesDoNotRunForRequestsThatNoTargetTakes failed before: two batches ran for a request that was then refused.

--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -145,6 +145,12 @@
         }
     });
     m_timer.emplace(m_context.routeDurations, m_context.clock, m_route->name, RouteDurations::Span::Request, m_request.receivedAt);
+    if (!m_route->stages.empty() && refuseUnavailable(m_context.clock.now())) {
+        m_refusal.retryAfter = m_refusal.retryAfter.value_or(shortRetryAfter);
+        co_await refuse(ResultCode::NoTarget,
+                        "no target of service " + m_service->name + " takes the request in time, as they have stated");
+        co_return;
+    }
     startStages();
     NextStep next = NextStep::Retry;
     while (next == NextStep::Retry) {
--- a/Tests/Site/LimitedTargetsTest.cpp
+++ b/Tests/Site/LimitedTargetsTest.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(targetsWhoseLimitIsLiftedServeAsBefore);
     CPPUNIT_TEST(daemonsThatStartLearnLimitsFromOthers);
     CPPUNIT_TEST(requestsAreRefusedAtOnceWhileNoTurnComesInTime);
+    CPPUNIT_TEST(stagesDoNotRunForRequestsThatNoTargetTakes);
     CPPUNIT_TEST(stageTargetsGetNoMoreThanTheirLimit);
     CPPUNIT_TEST_SUITE_END();
 
@@ -137,6 +138,24 @@
         CPPUNIT_ASSERT_EQUAL(200U, fleet.send(0, SiteFleet::makeRequest("/safe/x", "third")).status);
     }
 
+    /// The latency objective of the route is 6 s.
+    void stagesDoNotRunForRequestsThatNoTargetTakes()
+    {
+        SiteFleet fleet(1);
+        fleet.start({"model-2"});
+        fleet.target("model-1").setLimit("0.1");
+        waitForDiscovery();
+        CPPUNIT_ASSERT_EQUAL(200U, fleet.send(0, makeStagedRequest("first")).status);
+        const auto countBatches = [&] {
+            return fleet.target("stage-1").batches() + fleet.target("stage-2").batches();
+        };
+        const std::size_t batches = countBatches();
+        const SiteFleet::Response refusal = fleet.send(0, makeStagedRequest("second"));
+        CPPUNIT_ASSERT_EQUAL(503U, refusal.status);
+        CPPUNIT_ASSERT(std::stod(refusal.retryAfter) > 6);
+        CPPUNIT_ASSERT_EQUAL(batches, countBatches());
+    }
+
     void stageTargetsGetNoMoreThanTheirLimit()
     {
         SiteFleet fleet(1);
