Log a new era of the store only when it changes

A daemon that starts logged a warning that the store had come back from a copy. Only a change of the era says so.

--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -203,7 +203,7 @@
 void FleetFollower::handleEra(Topic topic, std::uint64_t era)
 {
     const std::uint64_t before = std::exchange(m_eras.at(static_cast<std::size_t>(topic)), era);
-    if (era == before) {
+    if (era == before || before == 0) {
         return;
     }
     const std::map<std::string, Clock::TimePoint> held = m_dependencies.mirror.heldKeys(topic);
@@ -217,7 +217,7 @@
             m_dependencies.fleet.markMissing(key, until);
         }
     }
-    if (topic == Topic::Members && before != 0) {
+    if (topic == Topic::Members) {
         Asio::co_spawn(m_strand, publishSelf(maxPublishDelay), Asio::detached);
     }
 }
--- a/Source/Fleet/FleetFollower.h
+++ b/Source/Fleet/FleetFollower.h
@@ -88,7 +88,7 @@
     void setStoreAvailable(Topic topic, bool available);
     /// Applies an update to the mirror, and what is new of it to the tables.
     void applyUpdate(const RecordUpdate &update);
-    /// Does what follows from a new era of the store: what this daemon has written there may be lost.
+    /// Does what follows from a new era of the store, if it isn't the first: what this daemon has written there may be lost.
     void handleEra(Topic topic, std::uint64_t era);
     /// Applies what the store has instead of records that were held from an earlier era.
     void applyReleased(Topic topic);
