Leave suspect targets out of the expected rate of stage calls

Since the calls of stage services keep to limits, the wait of a new piece was estimated with suspect targets among those that take calls; before, they were left out. It is as before again where no target has a limit.

--- a/Source/Fleet/FleetTable.cpp
+++ b/Source/Fleet/FleetTable.cpp
@@ -255,7 +255,7 @@
     const double fullRate = 1 / std::chrono::duration<double>(callTime).count();
     double rate = 0;
     for (const auto &[id, target] : m_targets) {
-        if (target.record().service == service && acceptsWork(target, now)) {
+        if (target.record().service == service && acceptsWork(target, now) && !target.isSuspect(now)) {
             rate += std::min(fullRate, target.availability().limit().requestsPerSecond());
         }
     }
--- a/Source/Fleet/FleetTable.h
+++ b/Source/Fleet/FleetTable.h
@@ -92,7 +92,8 @@
     /// Counts a call to a target of a stage service as sent.
     void recordCall(const std::string &id, Clock::TimePoint now);
 
-    /// Returns the calls per second that the available targets of a stage service take if each takes the given time.
+    /// Returns the calls per second that the available targets of a stage service take if each takes the given time. Suspect targets don't
+    /// count.
     double callRate(const std::string &service, Clock::Duration callTime, Clock::TimePoint now);
 
     /// Adds a request that waits for its turn at targets that limit their requests, so that less urgent ones come after it.
