--- a/review/kit/Kit.h
+++ b/review/kit/Kit.h
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -658,7 +659,7 @@
         m_beats = std::thread([this] {
             for (int it = 1; !m_ended; ++it) {
                 sleepFor(50);
-                if (it % 24 == 0 && !m_ended && m_registered) {
+                if (it % 24 == 0 && !m_ended && m_registered && !m_down) {
                     beat();
                 }
             }
@@ -686,6 +687,26 @@
     {
         return m_server;
     }
+    /// Ends as a process does that crashes, and starts again under the same id and address after a time.
+    void crash(int downMs)
+    {
+        if (m_down.exchange(true)) {
+            return;
+        }
+        std::thread([this, downMs] {
+            m_server.stop();
+            sleepFor(downMs);
+            m_born = unixMilliseconds();
+            m_sequence = 0;
+            m_server.listen(m_server.port());
+            m_down = false;
+            beat();
+        }).detach();
+    }
+    bool isDown() const
+    {
+        return m_down;
+    }
     void setState(const std::string &state)
     {
         m_state = state;
@@ -743,7 +764,8 @@
     std::string m_service;
     std::string m_zone;
     Behaviour m_behaviour;
-    std::uint64_t m_born;
+    std::atomic<std::uint64_t> m_born;
+    std::atomic<bool> m_down{false};
     std::atomic<int> m_sequence{0};
     std::atomic<bool> m_ended{false};
     std::atomic<bool> m_registered{true};
@@ -823,6 +845,7 @@
         const std::string variable = "GUAVALOCK_NODE_FILE=" + m_settings;
         m_pid = ::fork();
         if (m_pid == 0) {
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL); // The daemons end with the case, however it ends.
             const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(out, 1);
             ::dup2(out, 2);
