--- a/review/kit/Kit.h
+++ b/review/kit/Kit.h
@@ -926,7 +926,7 @@
         unsigned long resident = 0;
         const int n = std::fscanf(file, "%lu %lu", &total, &resident);
         std::fclose(file);
-        return n == 2 ? resident * static_cast<unsigned long>(::sysconf(_SC_PAGESIZE)) / 1'000'000 : 0;
+        return n == 2 ? resident * static_cast<unsigned long>(::sysconf(_SC_PAGESIZE)) / 1'048'576 : 0;
     }
 
 private:
