--- a/review/1/Case.cpp
+++ b/review/1/Case.cpp
@@ -64,8 +64,7 @@
     Engine desk2(store, "i-desk-2", "order-desk", "ja-ela", book);
     Daemon daemon(place, "edge-1", "127.81.0.1", "peliyagoda", "\"peliyagoda\":\"western-lk\",\"ja-ela\":\"western-lk\"", store.address());
     if (!daemon.waitReady()) {
-        say("the daemon is not ready");
-        return exitNotRun;
+        giveUp("the daemon is not ready");
     }
     sleepFor(4000); // The machine is in touch.
 
@@ -127,7 +126,7 @@
     say("peak memory %zu MB of %d MB; bookings answered %d, otherwise %d, cut without an answer %d", peak.load(), Daemon::memoryMb,
         answered.load(), otherwise.load(), cut.load());
     if (answered == 0) {
-        return exitNotRun;
+        giveUp("not all requests were answered");
     }
-    return finish(cut > 3, "LOST");
+    finish(cut > 3, "LOST");
 }
--- a/review/kit/Kit.h
+++ b/review/kit/Kit.h
@@ -23,6 +23,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <filesystem>
 #include <functional>
 #include <map>
 #include <memory>
@@ -30,6 +31,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <system_error>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -774,6 +776,50 @@
     Server m_server;
 };
 
+/// The processes that the case has started, and the scratch folder.
+class Cleanup
+{
+public:
+    static Cleanup &instance()
+    {
+        static Cleanup cleanup;
+        return cleanup;
+    }
+
+    void setFolder(const std::string &folder)
+    {
+        m_folder = folder;
+    }
+    void add(pid_t process)
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_processes.insert(process);
+    }
+    void remove(pid_t process)
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_processes.erase(process);
+    }
+    /// Ends all processes and this one, without the destructors that threads in progress may still need.
+    [[noreturn]] void end(int status)
+    {
+        const std::scoped_lock lock(m_mutex);
+        for (const pid_t it : m_processes) {
+            ::kill(it, SIGKILL);
+            ::waitpid(it, nullptr, 0);
+        }
+        std::error_code ignored;
+        std::filesystem::remove_all(m_folder, ignored);
+        std::fflush(nullptr);
+        ::_exit(status);
+    }
+
+private:
+    std::mutex m_mutex;
+    std::set<pid_t> m_processes;
+    std::string m_folder;
+};
+
 /// The folder of the case, and the root of the repository.
 struct Place {
     std::string folder;
@@ -787,6 +833,7 @@
         place.root = argv[2];
         char name[] = "/tmp/review-XXXXXX";
         place.scratch = mkdtemp(name);
+        Cleanup::instance().setFolder(place.scratch);
         Record::instance().open(place.folder + "/record.txt");
         return place;
     }
@@ -858,6 +905,7 @@
             ::_exit(exitNotRun);
         }
         m_running = true;
+        Cleanup::instance().add(m_pid);
     }
     void kill(int signal) const
     {
@@ -868,6 +916,7 @@
     void wait()
     {
         if (m_running.exchange(false)) {
+            Cleanup::instance().remove(m_pid);
             ::waitpid(m_pid, &m_status, 0);
         }
     }
@@ -876,6 +925,7 @@
     {
         if (m_running && ::waitpid(m_pid, &m_status, WNOHANG) == m_pid) {
             m_running = false;
+            Cleanup::instance().remove(m_pid);
         }
         return m_running;
     }
@@ -970,10 +1020,16 @@
         + (method == "GET" ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") + "\r\n" + body;
 }
 
-inline int finish(bool broken, const char *rule)
+[[noreturn]] inline void finish(bool broken, const char *rule)
 {
     say("%s: %s", rule, broken ? "BROKEN" : "held");
-    return broken ? exitBroken : exitHeld;
+    Cleanup::instance().end(broken ? exitBroken : exitHeld);
+}
+
+[[noreturn]] inline void giveUp(const char *reason)
+{
+    say("the case can't run: %s", reason);
+    Cleanup::instance().end(exitNotRun);
 }
 
 } // namespace Kit
