Limit the receive buffers of all HTTP connections

One target answers one stream with a chunk header that never ends; the daemon keeps all of it, exceeds its memory and is ended by the platform. 12 bookings in progress at other targets end without an answer (LOST). The caller of the endless answer waits until its deadline. Four clients without a key can end any daemon in the same way with such a request.

Cause: receive buffers had no maximum. The limits of the parser cover heads and bodies, but neither a chunk header nor a trailer, which it needs as a whole. The same cause was found on every reader of HTTP messages: answers of targets, HttpClient (stage calls, freeing of results, store, probes, administration tool), targets of pipelines, requests of callers, readiness, metrics, and the product's own interfaces. Ruled out: the body (nothing was passed on) and the kernel's buffers (the daemon read 191 MB).

Change: ReadBuffer, with a limit of 64 KiB or the configured limit of a request's head, replaces the unlimited buffers. What does not fit ends the connection at once. Answers that are no HTTP are logged and counted, which logs could not tell from lost connections. After a refusal the product's own interface discards no more than a valid request may have.

--- a/Fakes/FakeFleetTarget.cpp
+++ b/Fakes/FakeFleetTarget.cpp
@@ -37,7 +37,8 @@
 constexpr const char *leavingHeader = "Server-Leaving";
 constexpr const char *limitHeader = "Server-Limit";
 constexpr int eventsPerStream = 5;
-constexpr std::size_t endlessBytes = 4'096; ///< Written at a time by endless responses.
+constexpr const char *chunkedHeader = "Transfer-Encoding: chunked\r\n";
+constexpr std::size_t endlessBlock = 4'096; ///< Written at a time by endless responses.
 
 /// A complete response that a fault sends in place of the regular one.
 struct Replacement {
@@ -63,6 +64,11 @@
     return ec ? std::uint16_t(0) : peer.port();
 }
 
+bool isEndlessFraming(FakeFleetTarget::Fault fault)
+{
+    return fault == FakeFleetTarget::Fault::EndlessChunkHeader || fault == FakeFleetTarget::Fault::EndlessTrailer;
+}
+
 std::string chunk(const std::string &data)
 {
     std::ostringstream text;
@@ -252,6 +258,18 @@
     return m_server.connectionCount();
 }
 
+std::size_t FakeFleetTarget::endlessBytes() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_endlessBytes;
+}
+
+std::chrono::steady_clock::duration FakeFleetTarget::endlessDuration() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_endlessDuration;
+}
+
 std::string FakeFleetTarget::lastHeaders() const
 {
     const std::scoped_lock lock(m_mutex);
@@ -332,9 +350,12 @@
         ++m_executionCounts[std::string(request[attemptIdHeader])];
     }
     if (fault == Fault::EndlessHead) {
-        const std::string line = "X-Long: " + std::string(endlessBytes, 'x') + "\r\n";
+        const std::string line = "X-Long: " + std::string(endlessBlock, 'x') + "\r\n";
         co_return co_await sendEndlessly(socket, "HTTP/1.1 200 OK\r\n" + line, line, {});
     }
+    if (isEndlessFraming(fault)) {
+        co_return co_await sendEndlessFraming(socket, request, fault);
+    }
     if (replacements().contains(fault)) {
         co_return co_await sendInstead(socket, request, fault);
     }
@@ -438,6 +459,9 @@
 Asio::awaitable<bool> FakeFleetTarget::handleFree(FakeServer::Socket &socket, const FakeServer::Request &request)
 {
     const Fault fault = consumeFault(m_freeFaults);
+    if (isEndlessFraming(fault)) {
+        co_return co_await sendEndlessFraming(socket, request, fault);
+    }
     if (fault == Fault::Refuse) {
         co_return co_await refuse(socket, request, fault);
     }
@@ -461,8 +485,14 @@
                                                      std::chrono::milliseconds pause)
 {
     Asio::steady_timer timer(m_server.strand());
+    const auto begin = std::chrono::steady_clock::now();
     while (true) {
         const auto [ec, n] = co_await Asio::async_write(socket, Asio::buffer(head), Asio::as_tuple(Asio::use_awaitable));
+        {
+            const std::scoped_lock lock(m_mutex);
+            m_endlessBytes += n;
+            m_endlessDuration = std::max(m_endlessDuration, std::chrono::steady_clock::now() - begin);
+        }
         if (ec) {
             co_return false;
         }
@@ -472,6 +502,19 @@
     }
 }
 
+Asio::awaitable<bool> FakeFleetTarget::sendEndlessFraming(FakeServer::Socket &socket, const FakeServer::Request &request, Fault fault)
+{
+    const bool isStream = request.target().find("stream") != std::string::npos;
+    std::string begin = responseHead(request, std::string(isStream ? "Content-Type: text/event-stream\r\n" : "") + chunkedHeader);
+    if (isStream) {
+        begin += chunk(eventText(request, 1));
+    }
+    if (fault == Fault::EndlessChunkHeader) {
+        co_return co_await sendEndlessly(socket, begin + "1;", std::string(endlessBlock, 'x'), {});
+    }
+    co_return co_await sendEndlessly(socket, begin + "0\r\n", "X-Long: " + std::string(endlessBlock, 'x') + "\r\n", {});
+}
+
 Asio::awaitable<bool> FakeFleetTarget::sendResponse(FakeServer::Socket &socket, const FakeServer::Request &request, Fault fault)
 {
     co_await simulateWork();
@@ -503,7 +546,7 @@
         co_return co_await FakeServer::send(socket, std::move(response));
     }
     case Fault::Endless: {
-        co_return co_await sendEndlessly(socket, responseHead(request, ""), std::string(endlessBytes, 'x'), {});
+        co_return co_await sendEndlessly(socket, responseHead(request, ""), std::string(endlessBlock, 'x'), {});
     }
     case Fault::Foreign: {
         FakeServer::Response response = signedResponse(request, 200, "foreign");
@@ -529,7 +572,7 @@
             co_return co_await sendEndlessly(socket, chunk(":\n\n"), chunk(":\n\n"), std::chrono::milliseconds(50));
         }
         if (it == 2 && fault == Fault::Endless) {
-            const std::string data = chunk(std::string(endlessBytes, 'x'));
+            const std::string data = chunk(std::string(endlessBlock, 'x'));
             co_return co_await sendEndlessly(socket, data, data, {});
         }
         const std::string event = eventText(request, it);
@@ -551,6 +594,9 @@
 Asio::awaitable<bool> FakeFleetTarget::handleBatch(FakeServer::Socket &socket, const FakeServer::Request &request)
 {
     const Fault fault = consumeFault(m_faults);
+    if (isEndlessFraming(fault)) {
+        co_return co_await sendEndlessFraming(socket, request, fault);
+    }
     if (fault == Fault::Refuse) {
         co_return co_await refuse(socket, request, fault);
     }
--- a/Fakes/FakeFleetTarget.h
+++ b/Fakes/FakeFleetTarget.h
@@ -34,6 +34,8 @@
         Endless, ///< Sends bytes without end: in a stream within an event, otherwise in the body.
         PartialEnd, ///< Ends a stream correctly after half an event.
         EndlessHead, ///< Sends headers without end.
+        EndlessChunkHeader, ///< Sends a chunk header without end; also to batches and calls that free results.
+        EndlessTrailer, ///< As above, a trailer.
         Repeat, ///< When the next batch has arrived on a connection, sends the previous response again before its own.
         RepeatAtOnce, ///< On arrival, sends the last refusal or batch response of the connection again; then processes the request.
         RefuseById, ///< Responds with the request's attempt id that the request was not executed.
@@ -112,6 +114,12 @@
 
     std::size_t connections() const;
 
+    /// Returns how many bytes endless responses sent.
+    std::size_t endlessBytes() const;
+
+    /// Returns how long the longest endless response lasted until the caller closed its connection.
+    std::chrono::steady_clock::duration endlessDuration() const;
+
     /// Returns the request line and headers of the last request.
     std::string lastHeaders() const;
 
@@ -135,6 +143,8 @@
     /// Sends a text again and again until the caller closes the connection.
     boost::asio::awaitable<bool> sendEndlessly(FakeServer::Socket &socket, std::string head, std::string repeated,
                                                std::chrono::milliseconds pause);
+    /// Sends a head, then the form of framing that the fault stands for without end.
+    boost::asio::awaitable<bool> sendEndlessFraming(FakeServer::Socket &socket, const FakeServer::Request &request, Fault fault);
     /// Returns whether the request has the part of crashOn(), and records its arrival.
     bool hasCrashingPart(const FakeServer::Request &request);
     boost::asio::awaitable<void> crash();
@@ -162,6 +172,8 @@
     std::deque<Fault> m_faults;
     std::deque<Fault> m_freeFaults;
     std::size_t m_headLength = 0;
+    std::size_t m_endlessBytes = 0;
+    std::chrono::steady_clock::duration m_endlessDuration{};
     std::chrono::milliseconds m_serviceTime{2};
     std::chrono::milliseconds m_pause{0};
     bool m_leaving = false;
--- a/Source/FrontEnds/HttpSession.cpp
+++ b/Source/FrontEnds/HttpSession.cpp
@@ -30,7 +30,7 @@
     if (timedOut) {
         return anyDataRead ? ResultCode::RequestTooSlow : ResultCode::Ok;
     }
-    if (ec == Http::error::header_limit) {
+    if (ec == Http::error::header_limit || ec == Http::error::buffer_overflow) {
         return ResultCode::HeaderTooLarge;
     }
     if (ec == Http::error::body_limit) {
@@ -97,6 +97,7 @@
 Asio::awaitable<std::optional<HttpSession::Request>> HttpSession::readRequest(ResultCode &code)
 {
     Http::request_parser<Http::string_body> parser;
+    m_buffer.ensureLimit(m_context.settings.limits.headerBytes);
     parser.header_limit(static_cast<std::uint32_t>(m_context.settings.limits.headerBytes));
     parser.body_limit(m_context.settings.limits.bodyBytes);
     const DeadlineTimer timer(m_socket.get_executor(), m_context.clock.now() + m_context.settings.limits.receiveTimeout, [this] {
@@ -129,11 +130,14 @@
         m_socket.close(closed);
     });
     m_buffer.clear();
-    for (;;) {
+    const std::uint64_t limit = m_context.settings.limits.headerBytes + m_context.settings.limits.bodyBytes; // More is no valid request.
+    std::uint64_t discarded = 0;
+    while (discarded < limit) {
         const auto [ec, n] = co_await m_socket.async_read_some(m_buffer.prepare(4096), Asio::as_tuple(Asio::use_awaitable));
         if (ec) {
             co_return;
         }
+        discarded += n;
     }
 }
 
--- a/Source/FrontEnds/HttpSession.h
+++ b/Source/FrontEnds/HttpSession.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "Kernel/ResultCode.h"
+#include "Net/ReadBuffer.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -46,7 +46,7 @@
     boost::asio::ip::tcp::socket m_socket;
     HttpHandler &m_handler;
     const std::atomic<bool> &m_closeAfterResponse;
-    boost::beast::flat_buffer m_buffer;
+    ReadBuffer m_buffer;
 };
 
 } // namespace Guavalock
--- a/Source/Net/Connection.cpp
+++ b/Source/Net/Connection.cpp
@@ -70,7 +70,7 @@
     return m_socket;
 }
 
-boost::beast::flat_buffer &Connection::buffer()
+ReadBuffer &Connection::buffer()
 {
     return m_buffer;
 }
--- a/Source/Net/Connection.h
+++ b/Source/Net/Connection.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "Net/ReadBuffer.h"
 #include "Settings/Endpoint.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 
 namespace Guavalock
 {
@@ -26,12 +26,12 @@
 
     const Endpoint &endpoint() const;
     boost::asio::ip::tcp::socket &socket();
-    boost::beast::flat_buffer &buffer();
+    ReadBuffer &buffer();
 
 private:
     Endpoint m_endpoint;
     boost::asio::ip::tcp::socket m_socket;
-    boost::beast::flat_buffer m_buffer;
+    ReadBuffer m_buffer;
 };
 
 } // namespace Guavalock
--- a/Source/Relay/RelayAttempt.cpp
+++ b/Source/Relay/RelayAttempt.cpp
@@ -4,6 +4,9 @@
 #include "Fleet/RouteRecord.h"
 #include "Flow/CancelScope.h"
 #include "Flow/DeadlineTimer.h"
+#include "Kernel/Counter.h"
+#include "Kernel/Log.h"
+#include "Kernel/Metrics.h"
 #include "Relay/BufferBudget.h"
 #include "Relay/OpaqueRequest.h"
 #include "Relay/RelayCodec.h"
@@ -64,6 +67,11 @@
     if (m_timedOut) {
         return makeOutcome(AttemptOutcome::Result::TimedOut, AttemptReport::Outcome::TimedOut);
     }
+    if (!m_exchange.invalidity().empty()) {
+        m_context.metrics.counter("responses_invalid_total").add();
+        Log::warning("relay", "invalid-response",
+                     {{"id", m_parameters.request.id}, {"target", m_parameters.target.id}, {"reason", m_exchange.invalidity()}});
+    }
     // A target may close an idle connection at any time, so a failure on a reused connection does not count against the target.
     return makeOutcome(AttemptOutcome::Result::NoResponse,
                        m_exchange.reused() ? AttemptReport::Outcome::Cancelled : AttemptReport::Outcome::ConnectionLost);
--- a/Source/Relay/RelaySession.cpp
+++ b/Source/Relay/RelaySession.cpp
@@ -125,6 +125,8 @@
     const auto [ec, n] = co_await Http::async_read(m_socket, m_buffer, parser, Asio::as_tuple(Asio::use_awaitable));
     if (ec == Http::error::body_limit) {
         co_await rejectRequest(ResultCode::BodyTooLarge, "the request body exceeds the size limit");
+    } else if (ec == Http::error::buffer_overflow) {
+        co_await rejectRequest(ResultCode::HeaderTooLarge, "a chunk header or the trailer of the request exceeds the size limit");
     } else if (ec && ec.category() == Http::make_error_code(Http::error::bad_value).category() && ec != Http::error::partial_message) {
         co_await rejectRequest(ResultCode::MalformedRequest, ec.message());
     }
@@ -141,6 +143,7 @@
     const CallerLimits limits = catalogue ? catalogue->limits() : CallerLimits();
     const Clock::TimePoint arrived = m_context.clock.now();
     Parser parser;
+    m_buffer.ensureLimit(limits.headerBytes);
     parser.header_limit(limits.headerBytes);
     parser.body_limit(limits.bodyBytes);
     {
--- a/Source/Relay/RelaySession.h
+++ b/Source/Relay/RelaySession.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "Net/ReadBuffer.h"
 #include "Relay/OpaqueRequest.h"
 #include "Relay/RelayContext.h"
 #include "Relay/ResponseSink.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -65,7 +65,7 @@
     const RelayContext &m_context;
     boost::asio::ip::tcp::socket m_socket;
     SharedState &m_sharedState;
-    boost::beast::flat_buffer m_buffer;
+    ReadBuffer m_buffer;
     std::string m_pendingHead; ///< Headers of a streamed response, sent together with its first chunk.
     bool m_keepAlive = true;
 };
--- a/Source/Relay/UpstreamExchange.cpp
+++ b/Source/Relay/UpstreamExchange.cpp
@@ -70,11 +70,25 @@
     const auto [ec, n]
         = co_await Http::async_read_header(m_connection->socket(), m_connection->buffer(), *m_parser, Asio::as_tuple(Asio::use_awaitable));
     if (ec) {
+        recordReadError(ec);
         co_return std::nullopt;
     }
     co_return m_codec.parseResponse(m_parser->get().base());
 }
 
+void UpstreamExchange::recordReadError(const boost::system::error_code &ec)
+{
+    const bool isLoss = ec == Http::error::end_of_stream || ec == Http::error::partial_message;
+    if (ec.category() == Http::make_error_code(Http::error::bad_value).category() && !isLoss) {
+        m_invalidity = ec == Http::error::buffer_overflow ? "a chunk header or the trailer exceeds the size limit" : ec.message();
+    }
+}
+
+const std::string &UpstreamExchange::invalidity() const
+{
+    return m_invalidity;
+}
+
 bool UpstreamExchange::endsWithConnection() const
 {
     return m_parser && m_parser->need_eof();
@@ -86,6 +100,7 @@
         auto [ec, n] = co_await Http::async_read_some(m_connection->socket(), m_connection->buffer(), *m_parser,
                                                       Asio::as_tuple(Asio::use_awaitable));
         if (ec) {
+            recordReadError(ec);
             co_return ReadResult::Failed;
         }
     }
--- a/Source/Relay/UpstreamExchange.h
+++ b/Source/Relay/UpstreamExchange.h
@@ -45,6 +45,9 @@
     /// Reads the response headers. Returns nullopt if the connection is lost or they are not valid HTTP.
     boost::asio::awaitable<std::optional<UpstreamResponseHead>> head();
 
+    /// Returns what made the response unreadable, or an empty string if it was readable as far as it was received.
+    const std::string &invalidity() const;
+
     /// Returns whether the response has neither a length nor chunks, so that its body ends with the connection.
     bool endsWithConnection() const;
 
@@ -59,6 +62,8 @@
     void close();
 
 private:
+    void recordReadError(const boost::system::error_code &ec);
+
     /// Shared with the write, which may complete after the exchange is destroyed.
     struct PendingWrite {
         std::string text;
@@ -73,6 +78,7 @@
     bool m_reused = false;
     std::shared_ptr<PendingWrite> m_pendingWrite;
     bool m_closed = false;
+    std::string m_invalidity;
 };
 
 } // namespace Guavalock
--- a/Source/Site/StatusServer.cpp
+++ b/Source/Site/StatusServer.cpp
@@ -1,12 +1,12 @@
 #include "Site/StatusServer.h"
 
 #include "Flow/DeadlineTimer.h"
+#include "Net/ReadBuffer.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -46,7 +46,7 @@
 
 Asio::awaitable<void> StatusServer::serve(Acceptor::Socket socket)
 {
-    boost::beast::flat_buffer buffer;
+    ReadBuffer buffer;
     while (socket.is_open()) {
         const DeadlineTimer idle(socket.get_executor(), Clock::TimePoint::clock::now() + idleTimeout, [&socket] { socket.close(); });
         Http::request<Http::empty_body> request;
--- a/Source/Targets/TargetExchange.cpp
+++ b/Source/Targets/TargetExchange.cpp
@@ -18,6 +18,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace Guavalock
@@ -177,7 +178,7 @@
 boost::system::error_code TargetExchange::parseReceived(std::string &bytes)
 {
     std::array<char, readSize> buf;
-    boost::beast::flat_buffer &received = m_connection->buffer();
+    ReadBuffer &received = m_connection->buffer();
     while (received.size() > 0 && !m_parser->is_done()) {
         m_parser->get().body().data = buf.data();
         m_parser->get().body().size = buf.size();
@@ -201,9 +202,15 @@
     // All received data is parsed before the next read, so that a fast stream is forwarded in larger chunks.
     boost::system::error_code ec = parseReceived(bytes);
     while (!ec && bytes.empty() && !m_parser->is_done()) {
-        const auto [readError, n] = co_await m_connection->socket().async_read_some(m_connection->buffer().prepare(readSize),
-                                                                                    Asio::as_tuple(Asio::use_awaitable));
-        m_connection->buffer().commit(n);
+        ReadBuffer &received = m_connection->buffer();
+        if (received.remaining() == 0) {
+            finishInterrupted("a chunk header or the trailer of the response exceeds the size limit");
+            co_return false;
+        }
+        const std::size_t size = std::min(readSize, received.remaining());
+        const auto [readError, n]
+            = co_await m_connection->socket().async_read_some(received.prepare(size), Asio::as_tuple(Asio::use_awaitable));
+        received.commit(n);
         ec = readError;
         if (readError == Asio::error::eof) {
             m_parser->put_eof(ec);
--- a/Tests/Site/SiteFleet.cpp
+++ b/Tests/Site/SiteFleet.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
@@ -211,9 +212,17 @@
     Asio::steady_timer(context, delay).wait();
 }
 
+SiteFleet::Response SiteFleet::sendBytes(std::size_t daemon, const std::string &bytes) const
+{
+    Asio::io_context context;
+    Asio::ip::tcp::socket socket(context);
+    socket.connect({Asio::ip::make_address(FakeAddress::text()), callerPort(daemon)});
+    Asio::write(socket, Asio::buffer(bytes));
+    return readResponse(socket);
+}
+
 SiteFleet::Response SiteFleet::exchange(std::uint16_t port, const Request &request)
 {
-    Response response;
     Asio::io_context context;
     Asio::ip::tcp::socket socket(context);
     boost::system::error_code ec;
@@ -227,11 +236,16 @@
     if (!ec) {
         Http::write(socket, serializer, ec);
     }
+    return ec ? Response() : readResponse(socket);
+}
+
+SiteFleet::Response SiteFleet::readResponse(Asio::ip::tcp::socket &socket)
+{
+    Response response;
+    boost::system::error_code ec;
     boost::beast::flat_buffer buffer;
     Http::response_parser<Http::string_body> parser;
-    if (!ec) {
-        Http::read(socket, buffer, parser, ec);
-    }
+    Http::read(socket, buffer, parser, ec);
     response.complete = !ec;
     response.excess = boost::beast::buffers_to_string(buffer.data());
     if (parser.is_header_done()) {
@@ -265,6 +279,39 @@
     return total;
 }
 
+Endpoint SiteFleet::callers(std::size_t index) const
+{
+    return settings(index).callers;
+}
+
+Endpoint SiteFleet::readiness(std::size_t index) const
+{
+    return settings(index).readiness;
+}
+
+Endpoint SiteFleet::metrics(std::size_t index) const
+{
+    return *settings(index).metrics;
+}
+
+std::size_t SiteFleet::endlessBytes() const
+{
+    std::size_t total = 0;
+    for (const auto &[name, target] : m_targets) {
+        total += target->endlessBytes();
+    }
+    return total;
+}
+
+std::chrono::steady_clock::duration SiteFleet::endlessDuration() const
+{
+    std::chrono::steady_clock::duration longest{};
+    for (const auto &[name, target] : m_targets) {
+        longest = std::max(longest, target->endlessDuration());
+    }
+    return longest;
+}
+
 FakeRecordStore &SiteFleet::store()
 {
     return *m_store;
--- a/Tests/Site/SiteFleet.h
+++ b/Tests/Site/SiteFleet.h
@@ -62,6 +62,9 @@
 
     Response send(std::size_t daemon, const Request &request) const;
 
+    /// Sends bytes that need not be a valid request.
+    Response sendBytes(std::size_t daemon, const std::string &bytes) const;
+
     /// Sends a request and closes the connection after a delay without reading the response.
     static void sendAndDisconnect(std::size_t daemon, const Request &request, std::chrono::milliseconds delay);
 
@@ -79,6 +82,14 @@
     void killDaemon(std::size_t index);
     bool isReady(std::size_t index) const;
 
+    Endpoint callers(std::size_t index) const;
+    Endpoint readiness(std::size_t index) const;
+    Endpoint metrics(std::size_t index) const;
+
+    /// Returns how many bytes endless responses of all targets sent, and how long the longest of them lasted.
+    std::size_t endlessBytes() const;
+    std::chrono::steady_clock::duration endlessDuration() const;
+
     /// Returns the value of a daemon's counter, or 0 if it was never incremented.
     std::size_t counter(std::size_t daemon, const std::string &name) const;
 
@@ -95,6 +106,7 @@
 
     SiteSettings settings(std::size_t index) const;
     static Response exchange(std::uint16_t port, const Request &request);
+    static Response readResponse(boost::asio::ip::tcp::socket &socket);
 
     std::size_t m_daemonCount;
     std::chrono::milliseconds m_gracePeriod{4'000};
