Bound the memory of endless bodies of pipeline targets

Callers saw: nothing yet. Each body was limited to 64 MiB on its own, so that eight of them took 565 MB, more than the memory of any VM.

Cause: the product's own interface to targets did not use the budget that the responses to relayed requests share.

Change: BufferBudget moves to Net, and TargetExchange takes its share of it. Stand-ins send every form of endless bytes; what each form costs is asserted for relayed requests, plain and streamed, and for HttpClient.

Before: endlessBodiesOfTargetsOfPipelinesShareABudget failed with 564,527,392 bytes; the other new tests passed, so those forms were bounded already. After: all ten tests of EndlessMessagesTest pass.

--- a/Fakes/FakeFleetTarget.cpp
+++ b/Fakes/FakeFleetTarget.cpp
@@ -56,6 +56,15 @@
     return table;
 }
 
+std::string repeat(const std::string &text, std::size_t count)
+{
+    std::string all;
+    for (std::size_t it = 0; it < count; ++it) {
+        all += text;
+    }
+    return all;
+}
+
 /// Returns the port of a connection's peer, or 0 if the peer has disconnected.
 std::uint16_t peerPort(const FakeServer::Socket &socket)
 {
@@ -64,11 +73,6 @@
     return ec ? std::uint16_t(0) : peer.port();
 }
 
-bool isEndlessFraming(FakeFleetTarget::Fault fault)
-{
-    return fault == FakeFleetTarget::Fault::EndlessChunkHeader || fault == FakeFleetTarget::Fault::EndlessTrailer;
-}
-
 std::string chunk(const std::string &data)
 {
     std::ostringstream text;
@@ -76,6 +80,29 @@
     return text.str();
 }
 
+/// A response without end.
+struct EndlessForm {
+    bool followsHead; ///< Sent after a complete head of a chunked response.
+    std::string begin;
+    std::string repeated;
+};
+
+const std::map<FakeFleetTarget::Fault, EndlessForm> &endlessForms()
+{
+    using Fault = FakeFleetTarget::Fault;
+    static const std::string block(endlessBlock, 'x');
+    static const std::string header = "X-Long: " + block + "\r\n";
+    static const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    static const std::map<Fault, EndlessForm> table{{Fault::EndlessHead, {false, "HTTP/1.1 200 OK\r\n", header}},
+                                                    {Fault::EndlessStatusLine, {false, "HTTP/1.1 200 ", block}},
+                                                    {Fault::EndlessInterim, {false, interim, interim}},
+                                                    {Fault::EndlessChunkHeader, {true, "1;", block}},
+                                                    {Fault::EndlessTrailer, {true, "0\r\n", header}},
+                                                    {Fault::EndlessChunks, {true, "", chunk(block)}},
+                                                    {Fault::EndlessByteChunks, {true, "", repeat(chunk("x"), endlessBlock)}}};
+    return table;
+}
+
 } // namespace
 
 FakeFleetTarget::FakeFleetTarget(const Asio::any_io_executor &strand, std::uint16_t port, std::string id)
@@ -349,12 +376,8 @@
         const std::scoped_lock lock(m_mutex);
         ++m_executionCounts[std::string(request[attemptIdHeader])];
     }
-    if (fault == Fault::EndlessHead) {
-        const std::string line = "X-Long: " + std::string(endlessBlock, 'x') + "\r\n";
-        co_return co_await sendEndlessly(socket, "HTTP/1.1 200 OK\r\n" + line, line, {});
-    }
-    if (isEndlessFraming(fault)) {
-        co_return co_await sendEndlessFraming(socket, request, fault);
+    if (endlessForms().contains(fault)) {
+        co_return co_await sendEndlessForm(socket, request, fault);
     }
     if (replacements().contains(fault)) {
         co_return co_await sendInstead(socket, request, fault);
@@ -459,8 +482,8 @@
 Asio::awaitable<bool> FakeFleetTarget::handleFree(FakeServer::Socket &socket, const FakeServer::Request &request)
 {
     const Fault fault = consumeFault(m_freeFaults);
-    if (isEndlessFraming(fault)) {
-        co_return co_await sendEndlessFraming(socket, request, fault);
+    if (endlessForms().contains(fault)) {
+        co_return co_await sendEndlessForm(socket, request, fault);
     }
     if (fault == Fault::Refuse) {
         co_return co_await refuse(socket, request, fault);
@@ -502,17 +525,16 @@
     }
 }
 
-Asio::awaitable<bool> FakeFleetTarget::sendEndlessFraming(FakeServer::Socket &socket, const FakeServer::Request &request, Fault fault)
+Asio::awaitable<bool> FakeFleetTarget::sendEndlessForm(FakeServer::Socket &socket, const FakeServer::Request &request, Fault fault)
 {
-    const bool isStream = request.target().find("stream") != std::string::npos;
-    std::string begin = responseHead(request, std::string(isStream ? "Content-Type: text/event-stream\r\n" : "") + chunkedHeader);
-    if (isStream) {
-        begin += chunk(eventText(request, 1));
-    }
-    if (fault == Fault::EndlessChunkHeader) {
-        co_return co_await sendEndlessly(socket, begin + "1;", std::string(endlessBlock, 'x'), {});
+    const EndlessForm &form = endlessForms().at(fault);
+    std::string begin;
+    if (form.followsHead) {
+        const bool isStream = request.target().find("stream") != std::string::npos;
+        begin = responseHead(request, std::string(isStream ? "Content-Type: text/event-stream\r\n" : "") + chunkedHeader)
+            + (isStream ? chunk(eventText(request, 1)) : "");
     }
-    co_return co_await sendEndlessly(socket, begin + "0\r\n", "X-Long: " + std::string(endlessBlock, 'x') + "\r\n", {});
+    co_return co_await sendEndlessly(socket, begin + form.begin, form.repeated, {});
 }
 
 Asio::awaitable<bool> FakeFleetTarget::sendResponse(FakeServer::Socket &socket, const FakeServer::Request &request, Fault fault)
@@ -594,8 +616,8 @@
 Asio::awaitable<bool> FakeFleetTarget::handleBatch(FakeServer::Socket &socket, const FakeServer::Request &request)
 {
     const Fault fault = consumeFault(m_faults);
-    if (isEndlessFraming(fault)) {
-        co_return co_await sendEndlessFraming(socket, request, fault);
+    if (endlessForms().contains(fault)) {
+        co_return co_await sendEndlessForm(socket, request, fault);
     }
     if (fault == Fault::Refuse) {
         co_return co_await refuse(socket, request, fault);
--- a/Fakes/FakeFleetTarget.h
+++ b/Fakes/FakeFleetTarget.h
@@ -33,9 +33,13 @@
         Stall, ///< Sends one event of a stream, then comments without end.
         Endless, ///< Sends bytes without end: in a stream within an event, otherwise in the body.
         PartialEnd, ///< Ends a stream correctly after half an event.
-        EndlessHead, ///< Sends headers without end.
-        EndlessChunkHeader, ///< Sends a chunk header without end; also to batches and calls that free results.
-        EndlessTrailer, ///< As above, a trailer.
+        EndlessHead, ///< Sends headers without end; like the next six also to batches and calls that free results.
+        EndlessStatusLine,
+        EndlessInterim, ///< Interim responses.
+        EndlessChunkHeader,
+        EndlessTrailer,
+        EndlessChunks, ///< Chunks of 4 KiB, in a stream within an event.
+        EndlessByteChunks, ///< Chunks of one byte.
         Repeat, ///< When the next batch has arrived on a connection, sends the previous response again before its own.
         RepeatAtOnce, ///< On arrival, sends the last refusal or batch response of the connection again; then processes the request.
         RefuseById, ///< Responds with the request's attempt id that the request was not executed.
@@ -143,8 +147,8 @@
     /// Sends a text again and again until the caller closes the connection.
     boost::asio::awaitable<bool> sendEndlessly(FakeServer::Socket &socket, std::string head, std::string repeated,
                                                std::chrono::milliseconds pause);
-    /// Sends a head, then the form of framing that the fault stands for without end.
-    boost::asio::awaitable<bool> sendEndlessFraming(FakeServer::Socket &socket, const FakeServer::Request &request, Fault fault);
+    /// Sends bytes without end in the form that the fault stands for.
+    boost::asio::awaitable<bool> sendEndlessForm(FakeServer::Socket &socket, const FakeServer::Request &request, Fault fault);
     /// Returns whether the request has the part of crashOn(), and records its arrival.
     bool hasCrashingPart(const FakeServer::Request &request);
     boost::asio::awaitable<void> crash();
--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -7,6 +7,7 @@
 #include "Kernel/Metrics.h"
 #include "Kernel/Registry.h"
 #include "Kernel/WorkerPool.h"
+#include "Net/BufferBudget.h"
 #include "Peer/PeerNetwork.h"
 #include "Pipeline/DaemonContext.h"
 #include "Pipeline/LocalRoute.h"
@@ -59,9 +60,10 @@
     , m_connections(std::make_unique<ConnectionTable>(m_pool->executor()))
     , m_accounts(std::make_unique<AccountTable>())
     , m_poison(std::make_unique<PoisonTable>())
+    , m_responseMemory(std::make_unique<BufferBudget>())
     , m_members(std::make_unique<MemberTable>())
     , m_context(new DaemonContext{m_settings, m_incarnation, m_clock, m_pool->executor(), *m_metrics, *m_configurationTable, *m_requests,
-                                  *m_targets, *m_connections, *m_accounts, *m_poison})
+                                  *m_targets, *m_connections, *m_responseMemory, *m_accounts, *m_poison})
     , m_writer(std::make_unique<LogWriter>(*m_context))
     , m_configuration(std::make_unique<ConfigurationService>(*m_context, *m_writer))
     , m_claims(std::make_unique<ClaimService>(*m_context, *m_writer))
--- a/Source/Daemon/Daemon.h
+++ b/Source/Daemon/Daemon.h
@@ -11,6 +11,7 @@
 {
 
 class AccountTable;
+class BufferBudget;
 class ClaimService;
 class ConfigurationService;
 class ConfigurationTable;
@@ -62,6 +63,7 @@
     std::unique_ptr<ConnectionTable> m_connections;
     std::unique_ptr<AccountTable> m_accounts;
     std::unique_ptr<PoisonTable> m_poison;
+    std::unique_ptr<BufferBudget> m_responseMemory;
     std::unique_ptr<MemberTable> m_members;
     std::unique_ptr<DaemonContext> m_context;
     std::unique_ptr<LogWriter> m_writer;
--- a/Source/Relay/BufferBudget.cpp
+++ b/Source/Net/BufferBudget.cpp
@@ -1,4 +1,4 @@
-#include "Relay/BufferBudget.h"
+#include "Net/BufferBudget.h"
 
 namespace Guavalock
 {
--- a/Source/Pipeline/DaemonContext.h
+++ b/Source/Pipeline/DaemonContext.h
@@ -8,6 +8,7 @@
 {
 
 class AccountTable;
+class BufferBudget;
 class Clock;
 class ConfigurationTable;
 class ConnectionTable;
@@ -28,6 +29,7 @@
     RequestTable &requests;
     TargetTable &targets;
     ConnectionTable &connections;
+    BufferBudget &responseMemory;
     AccountTable &accounts;
     PoisonTable &poison;
 };
--- a/Source/Pipeline/LocalRoute.cpp
+++ b/Source/Pipeline/LocalRoute.cpp
@@ -74,7 +74,7 @@
 Asio::awaitable<AttemptResult> LocalRoute::callTarget(const Slot &slot, const StageCall &call, TokenSink &sink, Cancellation &cancellation)
 {
     const TargetCall wire = targetCall(call, m_context.clock.now());
-    TargetExchange exchange(m_context.connections, cancellation, &sink);
+    TargetExchange exchange(m_context.connections, m_context.responseMemory, cancellation, &sink);
     const TargetExchange::Parameters wanted{slot, *m_dialects.at(slot.dialect), wire, call.idempotent, call.requirements.deadline};
     co_return co_await exchange.run(wanted);
 }
--- a/Source/Relay/RelayAttempt.cpp
+++ b/Source/Relay/RelayAttempt.cpp
@@ -7,7 +7,7 @@
 #include "Kernel/Counter.h"
 #include "Kernel/Log.h"
 #include "Kernel/Metrics.h"
-#include "Relay/BufferBudget.h"
+#include "Net/BufferBudget.h"
 #include "Relay/OpaqueRequest.h"
 #include "Relay/RelayCodec.h"
 #include "Relay/ResponseSink.h"
--- a/Source/Site/SiteDaemon.cpp
+++ b/Source/Site/SiteDaemon.cpp
@@ -20,7 +20,7 @@
 #include "Kernel/Log.h"
 #include "Kernel/Metrics.h"
 #include "Kernel/WorkerPool.h"
-#include "Relay/BufferBudget.h"
+#include "Net/BufferBudget.h"
 #include "Relay/CrashDetector.h"
 #include "Relay/RelayCodec.h"
 #include "Relay/RelayFrontEnd.h"
--- a/Source/Targets/TargetExchange.cpp
+++ b/Source/Targets/TargetExchange.cpp
@@ -3,6 +3,7 @@
 #include "Flow/CancelScope.h"
 #include "Flow/DeadlineTimer.h"
 #include "Flow/TokenSink.h"
+#include "Net/BufferBudget.h"
 #include "Net/Connection.h"
 #include "Tables/Slot.h"
 #include "Targets/ConnectionTable.h"
@@ -61,8 +62,9 @@
 
 } // namespace
 
-TargetExchange::TargetExchange(ConnectionTable &connections, Cancellation &cancellation, TokenSink *sink)
+TargetExchange::TargetExchange(ConnectionTable &connections, BufferBudget &responseMemory, Cancellation &cancellation, TokenSink *sink)
     : m_connections(connections)
+    , m_responseMemory(responseMemory)
     , m_cancellation(cancellation)
     , m_sink(sink)
 {
@@ -229,11 +231,16 @@
 {
     std::string body;
     std::string bytes;
+    BufferBudget::Share memory(m_responseMemory);
     while (!m_parser->is_done()) {
         if (!co_await readSome(bytes)) {
             co_return;
         }
         body += bytes;
+        if (!memory.grow(body.size())) {
+            finishInterrupted("the response exceeds the memory that all responses share");
+            co_return;
+        }
     }
     Reason reason;
     std::optional<boost::json::object> output = parameters.dialect.parseResponse(body, reason);
--- a/Source/Targets/TargetExchange.h
+++ b/Source/Targets/TargetExchange.h
@@ -13,6 +13,7 @@
 namespace Guavalock
 {
 
+class BufferBudget;
 class Cancellation;
 class ConnectionTable;
 class DeadlineTimer;
@@ -39,7 +40,7 @@
         Clock::TimePoint deadline{};
     };
 
-    TargetExchange(ConnectionTable &connections, Cancellation &cancellation, TokenSink *sink);
+    TargetExchange(ConnectionTable &connections, BufferBudget &responseMemory, Cancellation &cancellation, TokenSink *sink);
     ~TargetExchange();
 
     boost::asio::awaitable<AttemptResult> run(Parameters parameters);
@@ -62,6 +63,7 @@
     void finish(StageAttemptOutcome end, std::string detail);
 
     ConnectionTable &m_connections;
+    BufferBudget &m_responseMemory;
     Cancellation &m_cancellation;
     TokenSink *m_sink;
     std::unique_ptr<Connection> m_connection;
--- a/Tests/Net/EndlessFramingTest.cpp
+++ b/Tests/Net/EndlessMessagesTest.cpp
@@ -5,6 +5,7 @@
 #include "Flow/Cancellation.h"
 #include "Kernel/Registry.h"
 #include "Kernel/WorkerPool.h"
+#include "Net/BufferBudget.h"
 #include "Net/HttpClient.h"
 #include "SiteFleet.h"
 #include "Tables/Slot.h"
@@ -33,16 +34,19 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Tests every reader of HTTP messages against chunk headers and trailers without end.
-class EndlessFramingTest : public CppUnit::TestFixture
+/// Tests every reader of HTTP messages against messages without end.
+class EndlessMessagesTest : public CppUnit::TestFixture
 {
-    CPPUNIT_TEST_SUITE(EndlessFramingTest);
+    CPPUNIT_TEST_SUITE(EndlessMessagesTest);
     CPPUNIT_TEST(targetsCannotFillTheMemoryWithFraming);
     CPPUNIT_TEST(stageTargetsCannotFillTheMemoryWithFraming);
     CPPUNIT_TEST(clientsCannotFillTheMemoryWithFraming);
     CPPUNIT_TEST(callersOfPipelinesCannotFillTheMemoryWithFraming);
     CPPUNIT_TEST(serversOfClientCallsCannotFillTheMemoryWithFraming);
     CPPUNIT_TEST(targetsOfPipelinesCannotFillTheMemoryWithFraming);
+    CPPUNIT_TEST(noFormOfEndlessResponseHoldsItsCaller);
+    CPPUNIT_TEST(noFormOfEndlessResponseFillsAClient);
+    CPPUNIT_TEST(endlessBodiesOfTargetsOfPipelinesShareABudget);
     CPPUNIT_TEST(longFramingBelowTheLimitIsAccepted);
     CPPUNIT_TEST_SUITE_END();
 
@@ -217,11 +221,12 @@
             WorkerPool pool(1);
             const auto strand = Asio::make_strand(pool.executor());
             ConnectionTable connections(strand);
+            BufferBudget responseMemory;
             const auto cancellation = std::make_shared<Cancellation>(strand);
             const auto dialect = Registry<TargetDialect>::instance().create("service");
             const Slot slot{.address = {FakeAddress::text(), serverPort}, .connectTimeout = seconds(1)};
             const TargetCall call{.requestId = "r", .attemptId = "a", .path = "/x"};
-            TargetExchange exchange(connections, *cancellation, nullptr);
+            TargetExchange exchange(connections, responseMemory, *cancellation, nullptr);
             const auto begin = std::chrono::steady_clock::now();
             const TargetExchange::Parameters parameters{slot, *dialect, call, false, begin + seconds(3)};
             const AttemptResult result = Asio::co_spawn(strand, exchange.run(parameters), Asio::use_future).get();
@@ -231,6 +236,83 @@
         }
     }
 
+    /// Chunks of one byte are valid, however many come. They end with the route's timeout (2 s) or half a second after the stream's
+    /// patience (2 s).
+    void noFormOfEndlessResponseHoldsItsCaller()
+    {
+        using Fault = FakeFleetTarget::Fault;
+        SiteFleet fleet(1);
+        fleet.start();
+        int number = 0;
+        for (const Fault fault : {Fault::Endless, Fault::EndlessHead, Fault::EndlessStatusLine, Fault::EndlessInterim, Fault::EndlessChunks,
+                                  Fault::EndlessByteChunks}) {
+            for (const std::string path : {"/once/x", "/brisk-stream/x"}) {
+                for (const std::string name : {"plain-1", "plain-2", "model-1", "model-2"}) {
+                    fleet.target(name).setFault(fault, 1'000);
+                }
+                const std::string id = "e" + std::to_string(++number);
+                const std::size_t before = fleet.endlessBytes();
+                const auto begin = std::chrono::steady_clock::now();
+                const SiteFleet::Response response = fleet.send(0, SiteFleet::makeRequest(path, id));
+                const auto duration = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - begin);
+                const std::size_t sentBytes = fleet.endlessBytes() - before;
+                const std::string text
+                    = id + " on " + path + ": " + std::to_string(sentBytes) + " bytes in " + std::to_string(duration.count()) + " ms";
+                CPPUNIT_ASSERT_MESSAGE(text, response.status != 200 || !response.complete);
+                CPPUNIT_ASSERT_MESSAGE(text, sentBytes <= BufferBudget::totalBytes + maxSentBytes);
+                CPPUNIT_ASSERT_MESSAGE(text, duration <= (fault == Fault::EndlessByteChunks ? milliseconds(3'000) : maxDuration));
+            }
+        }
+    }
+
+    /// Of the record store, stage targets, probes and the administration tool.
+    void noFormOfEndlessResponseFillsAClient()
+    {
+        const std::string block(64 * 1024, 'x');
+        const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+        const std::vector<std::pair<std::string, Form>> wholeForms{{"HTTP/1.1 200 ", {"status line", "", block}},
+                                                                   {"HTTP/1.1 200 OK\r\nX-Long: ", {"head", "", block}},
+                                                                   {interim, {"interim responses", "", interim}},
+                                                                   {"HTTP/1.1 200 OK\r\n\r\n", {"body until close", "", block}}};
+        for (const auto &[head, form] : wholeForms) {
+            EndlessServer server(head, form);
+            WorkerPool pool(1);
+            HttpClient client(Asio::make_strand(pool.executor()), {FakeAddress::text(), serverPort});
+            const auto begin = std::chrono::steady_clock::now();
+            const auto response = Asio::co_spawn(pool.executor(), client.call({.path = "/x"}, seconds(3)), Asio::use_future).get();
+            assertBounded(form.name, server.sentBytes(), begin);
+            CPPUNIT_ASSERT_MESSAGE(form.name, !response);
+            pool.stop();
+        }
+    }
+
+    /// Eight bodies of 64 MiB were above the memory of any VM.
+    void endlessBodiesOfTargetsOfPipelinesShareABudget()
+    {
+        EndlessServer server("HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\n\r\n", {"body", "", std::string(64 * 1024, 'x')});
+        WorkerPool pool(1);
+        const auto strand = Asio::make_strand(pool.executor());
+        ConnectionTable connections(strand);
+        BufferBudget responseMemory;
+        const auto dialect = Registry<TargetDialect>::instance().create("service");
+        const Slot slot{.address = {FakeAddress::text(), serverPort}, .connectTimeout = seconds(1)};
+        const TargetCall call{.requestId = "r", .attemptId = "a", .path = "/x"};
+        const auto cancellation = std::make_shared<Cancellation>(strand);
+        const auto deadline = std::chrono::steady_clock::now() + seconds(3);
+        std::vector<std::unique_ptr<TargetExchange>> exchanges;
+        std::vector<std::future<AttemptResult>> results;
+        for (int it = 0; it < 8; ++it) {
+            exchanges.push_back(std::make_unique<TargetExchange>(connections, responseMemory, *cancellation, nullptr));
+            results.push_back(Asio::co_spawn(strand, exchanges.back()->run({slot, *dialect, call, false, deadline}), Asio::use_future));
+        }
+        for (auto &it : results) {
+            CPPUNIT_ASSERT(it.get().outcome == StageAttemptOutcome::Lost);
+        }
+        const std::string text = std::to_string(server.sentBytes()) + " bytes";
+        CPPUNIT_ASSERT_MESSAGE(text, server.sentBytes() <= BufferBudget::totalBytes + 8 * maxSentBytes);
+        pool.stop();
+    }
+
     /// Chunk extensions and trailers are valid, so what fits into the buffer must not be refused.
     void longFramingBelowTheLimitIsAccepted()
     {
@@ -245,6 +327,6 @@
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(EndlessFramingTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(EndlessMessagesTest);
 
 } // namespace Guavalock
--- a/Tests/Site/BadBytesTest.cpp
+++ b/Tests/Site/BadBytesTest.cpp
@@ -1,4 +1,4 @@
-#include "Relay/BufferBudget.h"
+#include "Net/BufferBudget.h"
 #include "Relay/EventSplitter.h"
 #include "SiteFleet.h"
 
