Block the signals of a daemon before anything else

Users saw (FAULT): processes that ended by themselves. They kept no logs; that this is what they met is not shown. A SIGTERM at that time ends it with the signal, which a platform takes for a crash.

Cause: serveSite read the settings and loaded the plug-ins before it blocked the signals.

Change: SignalReceiver blocks them as the first statement of main; what arrives before the daemon serves waits until then. What remains is the time in which the dynamic linker loads the libraries, before main.

--- a/Source/Daemon/main.cpp
+++ b/Source/Daemon/main.cpp
@@ -1,4 +1,5 @@
 #include "Daemon/Daemon.h"
+#include "Daemon/SignalReceiver.h"
 #include "Kernel/Log.h"
 #include "Kernel/Registry.h"
 #include "Settings/SettingsFile.h"
@@ -7,9 +8,9 @@
 
 #include <boost/system/system_error.hpp>
 
-#include <cerrno>
-#include <csignal>
+#include <chrono>
 #include <iostream>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,25 +24,12 @@
 constexpr int exitListenFailed = 6; ///< A listening address cannot be bound.
 constexpr int exitRequestsAborted = 3; ///< Requests were still in progress when the stop time-out passed.
 /// Interval at which the settings file is checked for changes: 2 s, the time within which other changes of the configuration take effect.
-constexpr timespec settingsCheckInterval{2, 0};
-
-/// Blocks the handled signals in all threads, so that the main thread can wait for them.
-sigset_t blockStopSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    sigaddset(&signals, SIGHUP);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-    return signals;
-}
+constexpr std::chrono::seconds settingsCheckInterval{2};
 
 /// Runs a daemon until the first stop signal. Calls `reload` with true on SIGHUP, and with false periodically, since the settings file
 /// may change without a signal.
 template <class AnyDaemon, class Reload>
-int serve(AnyDaemon &daemon, const sigset_t &signals, Reload reload)
+int serve(AnyDaemon &daemon, const SignalReceiver &signals, Reload reload)
 {
     try {
         daemon.start();
@@ -49,18 +37,18 @@
         std::cerr << "guavalockd: cannot listen: " << e.what() << "; check the addresses in the settings\n";
         return exitListenFailed;
     }
-    int signal = SIGHUP;
-    while (signal == SIGHUP || signal < 0) {
-        signal = sigtimedwait(&signals, nullptr, &settingsCheckInterval);
-        if (signal == SIGHUP || (signal < 0 && errno == EAGAIN)) {
-            reload(signal == SIGHUP);
+    using Signal = SignalReceiver::Signal;
+    for (Signal signal = Signal::None; signal != Signal::Stop;) {
+        signal = signals.wait(settingsCheckInterval);
+        if (signal != Signal::Stop) {
+            reload(signal == Signal::Reload);
         }
     }
     return daemon.stop() ? 0 : exitRequestsAborted;
 }
 
 /// Serves with the settings and codecs of a site plug-in.
-int serveSite(const std::string &name)
+int serveSite(const std::string &name, const SignalReceiver &signals)
 {
     const std::unique_ptr<Site> site = Registry<Site>::instance().create(name);
     if (!site) {
@@ -77,7 +65,6 @@
         std::cerr << "guavalockd: " << reason.text << '\n';
         return exitSettings;
     }
-    const sigset_t signals = blockStopSignals();
     Log::start(settings->self.vm);
     SiteDaemon daemon(*site, *settings);
     std::string lastError; // Reason of the last rejected reload. Periodic checks log the same reason only once.
@@ -99,9 +86,10 @@
 
 int main(int argc, char **argv)
 {
+    const SignalReceiver signals; // First, since a signal before it ends the process.
     const std::vector<std::string> args(argv + 1, argv + argc);
     if (args.size() == 2 && args.front() == "--site") {
-        return serveSite(args.back());
+        return serveSite(args.back(), signals);
     }
     if (args.size() != 1) {
         std::cerr << "usage: guavalockd SETTINGS.yaml\n       guavalockd --site PLUGIN\n";
@@ -116,7 +104,6 @@
     if (!settings || !errors.empty()) {
         return exitSettings;
     }
-    const sigset_t signals = blockStopSignals();
     Log::start(settings->vm);
     Daemon daemon(*settings);
     return serve(daemon, signals, [](bool requested) {
--- a/Tests/Site/LateBalancerTest.cpp
+++ b/Tests/Site/LateBalancerTest.cpp
@@ -1,12 +1,9 @@
 #include "FakeAddress.h"
+#include "ProgramSettings.h"
 #include "SiteFleet.h"
 #include "SoakClient.h"
 #include "SoakProcess.h"
 
-#include <boost/json/array.hpp>
-#include <boost/json/object.hpp>
-#include <boost/json/serialize.hpp>
-
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <atomic>
@@ -30,30 +27,14 @@
     CPPUNIT_TEST(lateRequestsAreAnsweredInAPlannedStop);
     CPPUNIT_TEST_SUITE_END();
 
-    static constexpr std::uint16_t callerPort = 8'600;
-    static constexpr std::uint16_t storePort = 32'100; ///< Of SiteFleet.
-
     std::filesystem::path m_folder;
     std::mutex m_mutex;
     std::vector<SoakClient::Result> m_results;
     std::atomic<bool> m_ended{false};
 
-    void writeSettings() const
-    {
-        namespace Json = boost::json;
-        const std::string ip = FakeAddress::text();
-        Json::object settings{{"node_name", "vm-0"}, {"ip", ip}, {"zone", "north"}};
-        settings["listen"] = Json::object{{"frontend", ip + ':' + std::to_string(callerPort)}, {"readiness", ip + ":8601"}};
-        settings["internal_ports"] = Json::array{7700, 7701};
-        settings["limits"] = Json::object{{"cpu_share", 0.25}, {"cores", 1}};
-        settings["bounds"] = Json::object{{"grace_s", 8}, {"retry_budget_ratio", 0.2}, {"retry_allowance", 52}, {"budget_window_s", 10}};
-        settings["platform"] = Json::object{{"address", ip + ':' + std::to_string(storePort)}};
-        std::ofstream(m_folder / "vm-0.json") << Json::serialize(settings);
-    }
-
     void sendUntilTheEnd(const std::string &name, SoakClient::Kind kind)
     {
-        SoakClient client({FakeAddress::text(), callerPort});
+        SoakClient client({FakeAddress::text(), ProgramSettings::callerPort});
         for (int n = 0; !m_ended; ++n) {
             const SoakClient::Result result = client.send(kind, name + '.' + std::to_string(n), "k1");
             const std::scoped_lock lock(m_mutex);
@@ -67,7 +48,7 @@
     {
         m_folder = std::filesystem::temp_directory_path() / ("guavalock-late-balancer-" + std::to_string(::getpid()));
         std::filesystem::create_directories(m_folder);
-        writeSettings();
+        std::ofstream(m_folder / "vm-0.json") << ProgramSettings::text("vm-0");
     }
 
     void tearDown() override
@@ -87,7 +68,8 @@
         SoakProcess daemon(program, m_folder / "vm-0.json", m_folder / "log");
         daemon.start();
         CPPUNIT_ASSERT(SiteFleet::waitFor([] {
-            return SoakClient({FakeAddress::text(), callerPort}).send(SoakClient::Kind::Idempotent, "first", "k1").status == 200;
+            return SoakClient({FakeAddress::text(), ProgramSettings::callerPort}).send(SoakClient::Kind::Idempotent, "first", "k1").status
+                == 200;
         }));
         std::vector<std::thread> clients;
         for (const auto &[name, kind] :
