Start a daemon without metrics if their address is taken

Users saw (FAULT): a system that didn't start. They kept no logs; that this is what they met is not shown. Played with real processes on: the metrics address is the IP of the VM with the fixed port of the deploy file, and a daemon that can't listen there ends with status 6. Of two daemons with one IP and ports of their own, the second never starts.

Cause: the address of the metrics, which serves nobody's request, was treated like those of callers and peers.

Test that failed before: ProgramStartTest:: takenMetricsAddressesDoNotPreventTheStart (the program ended).

--- a/Source/Net/Acceptor.cpp
+++ b/Source/Net/Acceptor.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/system/system_error.hpp>
 
 namespace Guavalock
 {
@@ -31,12 +32,34 @@
 
 void Acceptor::start()
 {
-    const Asio::ip::tcp::endpoint local(Asio::ip::make_address(m_endpoint.address), m_endpoint.port);
-    m_acceptor.open(local.protocol());
-    m_acceptor.set_option(Asio::socket_base::reuse_address(true));
-    m_acceptor.bind(local);
-    m_acceptor.listen();
+    if (const boost::system::error_code ec = tryStart()) {
+        throw boost::system::system_error(ec, m_endpoint.text());
+    }
+}
+
+boost::system::error_code Acceptor::tryStart()
+{
+    boost::system::error_code ec;
+    const Asio::ip::tcp::endpoint local(Asio::ip::make_address(m_endpoint.address, ec), m_endpoint.port);
+    if (!ec) {
+        m_acceptor.open(local.protocol(), ec);
+    }
+    if (!ec) {
+        m_acceptor.set_option(Asio::socket_base::reuse_address(true), ec);
+    }
+    if (!ec) {
+        m_acceptor.bind(local, ec);
+    }
+    if (!ec) {
+        m_acceptor.listen(Asio::socket_base::max_listen_connections, ec);
+    }
+    if (ec) {
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored);
+        return ec;
+    }
     Asio::co_spawn(m_strand, accept(), Asio::detached);
+    return {};
 }
 
 void Acceptor::stop()
--- a/Source/Net/Acceptor.h
+++ b/Source/Net/Acceptor.h
@@ -5,6 +5,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/system/error_code.hpp>
 
 #include <functional>
 
@@ -25,6 +26,9 @@
     /// Starts listening and accepting. Throws boost::system::system_error if the address cannot be bound.
     void start();
 
+    /// As above, but returns the error. The call may be repeated then.
+    boost::system::error_code tryStart();
+
     /// Stops accepting. Callable from any thread.
     void stop();
 
--- a/Source/Site/SiteDaemon.cpp
+++ b/Source/Site/SiteDaemon.cpp
@@ -247,13 +247,25 @@
     m_follower->start(self);
     m_frontEnd->start();
     m_readiness->start();
-    if (m_metricsServer) {
-        m_metricsServer->start();
-    }
+    startMetrics();
     Asio::co_spawn(m_pool->executor(), updateMembers(), Asio::detached);
     Log::info("daemon", "started", {{"callers", m_settings.callers.text()}, {"peers", self.peerAddress.text()}});
 }
 
+void SiteDaemon::startMetrics()
+{
+    if (!m_metricsServer || m_metricsState == MetricsState::Served) {
+        return;
+    }
+    const boost::system::error_code ec = m_metricsServer->tryStart();
+    const MetricsState before = std::exchange(m_metricsState, ec ? MetricsState::Unavailable : MetricsState::Served);
+    if (ec && before != MetricsState::Unavailable) {
+        Log::warning("daemon", "metrics-unavailable", {{"address", m_settings.metrics->text()}, {"reason", ec.message()}});
+    } else if (!ec && before == MetricsState::Unavailable) {
+        Log::info("daemon", "metrics-served", {{"address", m_settings.metrics->text()}});
+    }
+}
+
 Asio::awaitable<void> SiteDaemon::updateMembers()
 {
     const Clock::TimePoint discoveryEnd = m_clock.now() + discoveryTime;
@@ -270,6 +282,7 @@
         m_evidence->setRelay(names.size() <= LinkPlan::fullMeshSize || m_membership->roster(now) != nullptr);
         m_retryBudget->setMemberCount(names.size());
         m_connectionShare->setMemberCount(names.size());
+        startMetrics();
         m_fleet->setSenders(now < discoveryEnd ? std::vector<std::string>() : std::move(names));
         timer.expires_after(memberUpdateInterval);
         co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
--- a/Source/Site/SiteDaemon.h
+++ b/Source/Site/SiteDaemon.h
@@ -42,7 +42,8 @@
     SiteDaemon(const Site &site, SiteSettings settings);
     ~SiteDaemon();
 
-    /// Starts to serve. Throws boost::system::system_error if an address cannot be bound.
+    /// Starts to serve. The address of the metrics may become available later. Throws boost::system::system_error if an address cannot be
+    /// bound.
     void start();
 
     /// Applies the settings that can change at run time: seeds, retry budget and grace period. Changed addresses are ignored.
@@ -56,10 +57,18 @@
     bool stop();
 
 private:
+    enum class MetricsState {
+        NotStarted,
+        Unavailable, ///< Another socket uses the address.
+        Served,
+    };
+
     MeshNetwork::Callbacks meshCallbacks();
     void startFollower();
     boost::asio::awaitable<void> updateMembers();
     void detectSuspension();
+    /// Starts to serve metrics unless that has succeeded before. Logs changes only.
+    void startMetrics();
     /// Refuses the requests that wait and would outlast a planned stop if they began now.
     void refuseHopelessRequests(const StopPlan &plan);
     /// Plans the links to other daemons: those of LinkPlan, the partners, and the seeds while no daemon is linked.
@@ -99,6 +108,7 @@
     std::unique_ptr<RelayFrontEnd> m_frontEnd;
     std::unique_ptr<StatusServer> m_readiness;
     std::unique_ptr<StatusServer> m_metricsServer;
+    MetricsState m_metricsState = MetricsState::NotStarted;
     Clock::Duration m_suspendedTime{}; ///< Total time for which the machine has been suspended since boot, as of the last check.
     std::atomic<bool> m_draining{false};
 };
--- a/Source/Site/StatusServer.cpp
+++ b/Source/Site/StatusServer.cpp
@@ -39,6 +39,11 @@
     m_acceptor.start();
 }
 
+boost::system::error_code StatusServer::tryStart()
+{
+    return m_acceptor.tryStart();
+}
+
 void StatusServer::stop()
 {
     m_acceptor.stop();
--- a/Source/Site/StatusServer.h
+++ b/Source/Site/StatusServer.h
@@ -3,6 +3,7 @@
 #include "Net/Acceptor.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/system/error_code.hpp>
 
 #include <functional>
 #include <string>
@@ -26,6 +27,9 @@
     /// Starts to listen. Throws boost::system::system_error if the address cannot be bound.
     void start();
 
+    /// As above, but returns the error. The call may be repeated then.
+    boost::system::error_code tryStart();
+
     void stop();
 
 private:
--- a/Tests/Site/ProgramStartTest.cpp
+++ b/Tests/Site/ProgramStartTest.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST_SUITE(ProgramStartTest);
     CPPUNIT_TEST(reloadSignalsDuringTheStartDoNotEndTheProgram);
     CPPUNIT_TEST(stopSignalsDuringTheStartEndTheProgramCleanly);
+    CPPUNIT_TEST(takenMetricsAddressesDoNotPreventTheStart);
     CPPUNIT_TEST_SUITE_END();
 
     std::filesystem::path m_folder;
@@ -131,6 +132,25 @@
         CPPUNIT_ASSERT(status);
         CPPUNIT_ASSERT_EQUAL(0, *status);
     }
+
+    /// Of two daemons with one IP the second ended at its start, as the port of the metrics is the same.
+    void takenMetricsAddressesDoNotPreventTheStart()
+    {
+        Asio::io_context context;
+        Asio::ip::tcp::acceptor other(context, endpoint(ProgramSettings::metricsPort));
+        writeSettings();
+        const std::unique_ptr<SoakProcess> process = startProgram();
+        CPPUNIT_ASSERT(serves());
+        other.close();
+        Asio::ip::tcp::socket scraper(context);
+        const bool served = SiteFleet::waitFor([&] {
+            boost::system::error_code ec;
+            scraper.close(ec);
+            scraper.connect(endpoint(ProgramSettings::metricsPort), ec);
+            return !ec;
+        });
+        CPPUNIT_ASSERT_MESSAGE("metrics are not served after the address became free", served);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ProgramStartTest);
