Wait for settings that are still being written at the start

Users saw (FAULT): a system that didn't start. They kept no logs; that this is what they met is not shown. Played with real processes on: settings of which half is written at the start, complete after 0.3 s, end the daemon at once with status 5.

Cause: the settings were read once.

Change: StartupWait polls until the settings are complete, for 5 s, and reacts to signals meanwhile: SIGTERM ends the wait with status 0. Settings that stay wrong still end the daemon with status 5.

Tests: ProgramStartTest::settingsMayBeCompletedAfterTheStart failed before (the program ended); incompleteSettingsEndTheProgramWithItsStatus passed before and after.

--- a/Source/Daemon/main.cpp
+++ b/Source/Daemon/main.cpp
@@ -1,5 +1,6 @@
 #include "Daemon/Daemon.h"
 #include "Daemon/SignalReceiver.h"
+#include "Daemon/StartupWait.h"
 #include "Kernel/Log.h"
 #include "Kernel/Registry.h"
 #include "Settings/SettingsFile.h"
@@ -25,6 +26,8 @@
 constexpr int exitRequestsAborted = 3; ///< Requests were still in progress when the stop time-out passed.
 /// Interval at which the settings file is checked for changes: 2 s, the time within which other changes of the configuration take effect.
 constexpr std::chrono::seconds settingsCheckInterval{2};
+/// The settings may still be being written when the daemon starts.
+constexpr std::chrono::seconds settingsTimeout{5};
 
 /// Runs a daemon until the first stop signal. Calls `reload` with true on SIGHUP, and with false periodically, since the settings file
 /// may change without a signal.
@@ -60,7 +63,15 @@
         return exitUsage;
     }
     Reason reason;
-    std::optional<SiteSettings> settings = site->settings({}, reason);
+    std::optional<SiteSettings> settings;
+    const auto areComplete = [&] {
+        settings = site->settings({}, reason);
+        return settings.has_value();
+    };
+    const StartupWait::Result result = StartupWait(signals).until(areComplete, settingsTimeout);
+    if (result == StartupWait::Result::Stopped) {
+        return 0;
+    }
     if (!settings) {
         std::cerr << "guavalockd: " << reason.text << '\n';
         return exitSettings;
--- a/Tests/Site/ProgramStartTest.cpp
+++ b/Tests/Site/ProgramStartTest.cpp
@@ -32,6 +32,8 @@
     CPPUNIT_TEST(reloadSignalsDuringTheStartDoNotEndTheProgram);
     CPPUNIT_TEST(stopSignalsDuringTheStartEndTheProgramCleanly);
     CPPUNIT_TEST(takenMetricsAddressesDoNotPreventTheStart);
+    CPPUNIT_TEST(settingsMayBeCompletedAfterTheStart);
+    CPPUNIT_TEST(incompleteSettingsEndTheProgramWithItsStatus);
     CPPUNIT_TEST_SUITE_END();
 
     std::filesystem::path m_folder;
@@ -151,6 +153,27 @@
         });
         CPPUNIT_ASSERT_MESSAGE("metrics are not served after the address became free", served);
     }
+
+    /// The program ended when it started before its settings were complete.
+    void settingsMayBeCompletedAfterTheStart()
+    {
+        const std::string text = ProgramSettings::text("vm-0");
+        std::ofstream file(settingsFile());
+        file << text.substr(0, text.size() / 2) << std::flush;
+        const std::unique_ptr<SoakProcess> process = startProgram();
+        std::this_thread::sleep_for(milliseconds(300));
+        file << text.substr(text.size() / 2) << std::flush;
+        CPPUNIT_ASSERT(serves());
+    }
+
+    void incompleteSettingsEndTheProgramWithItsStatus()
+    {
+        std::ofstream(settingsFile()) << "{\"node_name\":";
+        const std::unique_ptr<SoakProcess> process = startProgram();
+        const std::optional<int> status = awaitExit(*process);
+        CPPUNIT_ASSERT(status);
+        CPPUNIT_ASSERT_EQUAL(5, *status);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ProgramStartTest);
