Wait for the addresses that a stopping daemon still uses

Users saw (FAULT): a system that didn't start. They kept no logs; that this is what they met is not shown. Played with real processes on: a daemon that is started while the one before still stops, which takes 3.2 s and more, ends at once with status 6.

Cause: the addresses were bound once, and an address in use was final.

Change: before it starts, a daemon checks that it can bind the addresses of callers, readiness and peers. While one is in use, or not yet assigned to the VM, it logs that once and waits, for up to 30 s; then it ends with status 6 as before. SIGTERM ends the wait with status 0.

Tests that failed before: ProgramStartTest:: successorsWaitForAStoppingDaemon and stopSignalsEndTheWaitForAnAddress (the program ended at once in both).

--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -88,6 +88,11 @@
     m_pool->stop();
 }
 
+std::vector<Endpoint> Daemon::listenAddresses() const
+{
+    return {m_settings.callers, m_settings.administration, m_settings.peerListen};
+}
+
 void Daemon::start()
 {
     Log::info("daemon", "starting", {{"incarnation", m_incarnation}, {"data_centre", m_settings.dataCentre}});
--- a/Source/Daemon/Daemon.h
+++ b/Source/Daemon/Daemon.h
@@ -38,6 +38,9 @@
     explicit Daemon(ProcessSettings settings);
     ~Daemon();
 
+    /// Returns the addresses without which the daemon cannot serve.
+    std::vector<Endpoint> listenAddresses() const;
+
     /// Starts serving. Throws boost::system::system_error if an address cannot be bound.
     void start();
 
--- a/Source/Daemon/main.cpp
+++ b/Source/Daemon/main.cpp
@@ -3,6 +3,7 @@
 #include "Daemon/StartupWait.h"
 #include "Kernel/Log.h"
 #include "Kernel/Registry.h"
+#include "Net/AddressCheck.h"
 #include "Settings/SettingsFile.h"
 #include "Site/Site.h"
 #include "Site/SiteDaemon.h"
@@ -28,12 +29,33 @@
 constexpr std::chrono::seconds settingsCheckInterval{2};
 /// The settings may still be being written when the daemon starts.
 constexpr std::chrono::seconds settingsTimeout{5};
+/// Above the grace period of a daemon that still stops on the same addresses.
+constexpr std::chrono::seconds addressTimeout{30};
+
+/// Waits until the daemon can listen on its addresses, and logs the first one that it waits for.
+template <class AnyDaemon>
+StartupWait::Result awaitAddresses(const AnyDaemon &daemon, const SignalReceiver &signals)
+{
+    bool logged = false;
+    const auto areAvailable = [&] {
+        const std::optional<AddressCheck::Unavailable> found = AddressCheck::findUnavailable(daemon.listenAddresses());
+        if (found && !logged) {
+            logged = true;
+            Log::warning("daemon", "address-unavailable", {{"address", found->address.text()}, {"reason", found->reason.message()}});
+        }
+        return !found;
+    };
+    return StartupWait(signals).until(areAvailable, addressTimeout);
+}
 
 /// Runs a daemon until the first stop signal. Calls `reload` with true on SIGHUP, and with false periodically, since the settings file
 /// may change without a signal.
 template <class AnyDaemon, class Reload>
 int serve(AnyDaemon &daemon, const SignalReceiver &signals, Reload reload)
 {
+    if (awaitAddresses(daemon, signals) == StartupWait::Result::Stopped) {
+        return 0;
+    }
     try {
         daemon.start();
     } catch (const boost::system::system_error &e) {
--- a/Source/Site/SiteDaemon.cpp
+++ b/Source/Site/SiteDaemon.cpp
@@ -252,6 +252,11 @@
     Log::info("daemon", "started", {{"callers", m_settings.callers.text()}, {"peers", self.peerAddress.text()}});
 }
 
+std::vector<Endpoint> SiteDaemon::listenAddresses() const
+{
+    return {m_settings.callers, m_settings.readiness, m_settings.self.peerAddress};
+}
+
 void SiteDaemon::startMetrics()
 {
     if (!m_metricsServer || m_metricsState == MetricsState::Served) {
--- a/Source/Site/SiteDaemon.h
+++ b/Source/Site/SiteDaemon.h
@@ -42,6 +42,9 @@
     SiteDaemon(const Site &site, SiteSettings settings);
     ~SiteDaemon();
 
+    /// Returns the addresses without which the daemon cannot serve.
+    std::vector<Endpoint> listenAddresses() const;
+
     /// Starts to serve. The address of the metrics may become available later. Throws boost::system::system_error if an address cannot be
     /// bound.
     void start();
--- a/Tests/Site/ProgramStartTest.cpp
+++ b/Tests/Site/ProgramStartTest.cpp
@@ -34,6 +34,8 @@
     CPPUNIT_TEST(takenMetricsAddressesDoNotPreventTheStart);
     CPPUNIT_TEST(settingsMayBeCompletedAfterTheStart);
     CPPUNIT_TEST(incompleteSettingsEndTheProgramWithItsStatus);
+    CPPUNIT_TEST(successorsWaitForAStoppingDaemon);
+    CPPUNIT_TEST(stopSignalsEndTheWaitForAnAddress);
     CPPUNIT_TEST_SUITE_END();
 
     std::filesystem::path m_folder;
@@ -174,6 +176,35 @@
         CPPUNIT_ASSERT(status);
         CPPUNIT_ASSERT_EQUAL(5, *status);
     }
+
+    /// A daemon that was started while its predecessor still stopped ended at once, as its addresses were in use.
+    void successorsWaitForAStoppingDaemon()
+    {
+        writeSettings();
+        const std::unique_ptr<SoakProcess> first = startProgram();
+        CPPUNIT_ASSERT(serves());
+        first->sendSignal(SIGTERM);
+        const std::unique_ptr<SoakProcess> second = startProgram();
+        const std::optional<int> status = awaitExit(*first);
+        CPPUNIT_ASSERT(status);
+        CPPUNIT_ASSERT_EQUAL(0, *status);
+        CPPUNIT_ASSERT(serves());
+        CPPUNIT_ASSERT(!second->pollExitStatus());
+    }
+
+    void stopSignalsEndTheWaitForAnAddress()
+    {
+        Asio::io_context context;
+        const Asio::ip::tcp::acceptor other(context, endpoint(ProgramSettings::callerPort));
+        writeSettings();
+        const std::unique_ptr<SoakProcess> process = startProgram();
+        std::this_thread::sleep_for(milliseconds(500));
+        CPPUNIT_ASSERT(!process->pollExitStatus());
+        process->sendSignal(SIGTERM);
+        const std::optional<int> status = awaitExit(*process);
+        CPPUNIT_ASSERT(status);
+        CPPUNIT_ASSERT_EQUAL(0, *status);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ProgramStartTest);
