Close connections in a planned stop only after announcing it

Cause: RelaySession decided when it wrote the head of a response whether to announce the end of the connection, and again after the response whether to close it. A stop between the two closed the connection unannounced. Ruled out: the request was passed on and cut (no target saw it); the own interface, which decides once.

Change: the session closes only if a response has announced it. The next request is served or refused with Connection: close.

Test that failed before: PlannedStopTest:: connectionsAreNotClosedUnannounced.

--- a/Source/Relay/RelaySession.cpp
+++ b/Source/Relay/RelaySession.cpp
@@ -82,7 +82,8 @@
             co_await serve(std::move(*request));
         }
         --m_sharedState.requests;
-        if (closed || m_sharedState.draining) {
+        // A connection whose client was not told may already carry the next request.
+        if (m_closeAnnounced) {
             break;
         }
     }
@@ -206,7 +207,7 @@
     return watch;
 }
 
-std::string RelaySession::formatHead(unsigned status, const HttpFields &fields) const
+std::string RelaySession::formatHead(unsigned status, const HttpFields &fields)
 {
     const auto reason = Http::obsolete_reason(static_cast<Http::status>(status));
     std::string text = "HTTP/1.1 " + std::to_string(status) + ' ' + std::string(reason) + "\r\n";
@@ -214,6 +215,7 @@
         text += name + ": " + value + "\r\n";
     }
     if (closesAfterResponse()) {
+        m_closeAnnounced = true;
         text += "Connection: close\r\n";
     }
     return text;
--- a/Source/Relay/RelaySession.h
+++ b/Source/Relay/RelaySession.h
@@ -25,7 +25,7 @@
 public:
     /// State shared by all sessions of a front end.
     struct SharedState {
-        std::atomic<bool> draining{false}; ///< Connections are closed after their next response.
+        std::atomic<bool> draining{false}; ///< Connections are closed after the next response that can announce it.
         std::atomic<bool> closed{false}; ///< New requests are refused.
         std::atomic<std::size_t> requests{0}; ///< Requests in progress.
         std::atomic<std::size_t> connections{0};
@@ -59,7 +59,7 @@
     boost::asio::awaitable<bool> rejectRequest(ResultCode code, std::string reason);
     boost::asio::awaitable<bool> write(std::string text);
     std::shared_ptr<DisconnectWatch> watchForDisconnect(const std::shared_ptr<Cancellation> &cancellation);
-    std::string formatHead(unsigned status, const HttpFields &fields) const;
+    std::string formatHead(unsigned status, const HttpFields &fields);
     bool closesAfterResponse() const;
 
     const RelayContext &m_context;
@@ -68,6 +68,7 @@
     ReadBuffer m_buffer;
     std::string m_pendingHead; ///< Headers of a streamed response, sent together with its first chunk.
     bool m_keepAlive = true;
+    bool m_closeAnnounced = false; ///< The client was told in a response that its connection ends.
 };
 
 } // namespace Guavalock
--- a/Tests/Site/PlannedStopTest.cpp
+++ b/Tests/Site/PlannedStopTest.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(requestsThatWaitedForAShortTimeAreAnswered);
     CPPUNIT_TEST(requestsAreJudgedWhenTheyAreWhole);
     CPPUNIT_TEST(repeatsThatOutlastTheStopAreNotSent);
+    CPPUNIT_TEST(connectionsAreNotClosedUnannounced);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr milliseconds gracePeriod{8'000};
@@ -181,6 +182,28 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), executionCount(fleet, "repeated"));
         CPPUNIT_ASSERT(stopped.get());
     }
+
+    /// The head of a stream that begins before a stop announces no end of its connection, so its client may send the next request there.
+    /// The daemon closed the connection after the stream, and the next request ended without an answer.
+    void connectionsAreNotClosedUnannounced()
+    {
+        SiteFleet fleet(2);
+        fleet.setGracePeriod(gracePeriod);
+        fleet.start();
+        setTimePerEvent(fleet, milliseconds(200));
+        auto responses = std::async(std::launch::async, [&] {
+            return fleet.sendOnOneConnection(1, {makeRequest("/brisk-stream/x", "first"), makeRequest("/safe/x", "second")});
+        });
+        std::this_thread::sleep_for(milliseconds(500));
+        std::future<bool> stopped = stopDaemon(fleet);
+        const std::vector<SiteFleet::Response> received = responses.get();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), received.size());
+        CPPUNIT_ASSERT(received[0].complete);
+        CPPUNIT_ASSERT_MESSAGE("the second request was cut", received[1].complete);
+        CPPUNIT_ASSERT(received[1].status == 200 || received[1].status == 503);
+        CPPUNIT_ASSERT(!received[1].keepsConnection);
+        CPPUNIT_ASSERT(stopped.get());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlannedStopTest);
--- a/Tests/Site/SiteFleet.cpp
+++ b/Tests/Site/SiteFleet.cpp
@@ -212,6 +212,23 @@
     Asio::steady_timer(context, delay).wait();
 }
 
+std::vector<SiteFleet::Response> SiteFleet::sendOnOneConnection(std::size_t daemon, const std::vector<Request> &requests) const
+{
+    Asio::io_context context;
+    Asio::ip::tcp::socket socket(context);
+    socket.connect({Asio::ip::make_address(FakeAddress::text()), callerPort(daemon)});
+    std::vector<Response> responses;
+    for (const Request &it : requests) {
+        boost::system::error_code ec;
+        Http::write(socket, makeHttpRequest(it), ec);
+        responses.push_back(ec ? Response() : readResponse(socket));
+        if (!responses.back().complete || !responses.back().keepsConnection) {
+            break;
+        }
+    }
+    return responses;
+}
+
 SiteFleet::Response SiteFleet::sendBytes(std::size_t daemon, const std::string &bytes) const
 {
     Asio::io_context context;
@@ -252,6 +269,7 @@
         response.status = parser.get().result_int();
         response.body = parser.get().body();
         response.retryAfter = std::string(parser.get()[Http::field::retry_after]);
+        response.keepsConnection = parser.keep_alive();
         response.isSigned = !parser.get()["X-Guavalock-Server-Signature"].empty();
     }
     return response;
--- a/Tests/Site/SiteFleet.h
+++ b/Tests/Site/SiteFleet.h
@@ -29,6 +29,7 @@
         bool complete = false; ///< A complete HTTP message was received.
         std::string retryAfter;
         bool isSigned = false;
+        bool keepsConnection = false;
         std::string excess; ///< Bytes on the connection that are not part of the message.
     };
 
@@ -65,6 +66,9 @@
     /// Sends bytes that need not be a valid request.
     Response sendBytes(std::size_t daemon, const std::string &bytes) const;
 
+    /// Sends requests one after the other on one connection. Stops when a response is incomplete or announces the end of the connection.
+    std::vector<Response> sendOnOneConnection(std::size_t daemon, const std::vector<Request> &requests) const;
+
     /// Sends a request and closes the connection after a delay without reading the response.
     static void sendAndDisconnect(std::size_t daemon, const Request &request, std::chrono::milliseconds delay);
 
