--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -284,7 +284,8 @@
             continue;
         }
         const bool killed = *status == -SIGKILL;
-        if (!killed && !m_stopRequested[it]) {
+        const bool stopped = m_stopRequested[it] && *status == 0;
+        if (!killed && !stopped) {
             m_violations.push_back("daemon " + std::to_string(it) + " exited unexpectedly with status " + std::to_string(*status));
         }
         schedule(milliseconds(200), milliseconds(1'500), [this, it] { restartDaemon(it); });
