Refuse requests whose length cannot be relied on

A request whose Transfer-Encoding does not end with "chunked" is run with an empty body, and the request in its body runs too, 4 of 4.

Cause: the parser takes a request with an unknown transfer coding for one without a body, and nothing checked the field. Related paths had the same fault: readiness, metrics and the product's own interfaces answered what follows such a request; equal lengths that occur twice and chunks before HTTP/1.1 were accepted; answers of targets and of the store with such a coding were read until their connection closed. Ruled out: reading on after a refusal (the outer request had run).

Change: MessageFraming decides from a head whether the length of a message can be relied on. Requests are refused with 400 and their connection is closed, answers count as lost.

--- a/Source/FrontEnds/HttpSession.cpp
+++ b/Source/FrontEnds/HttpSession.cpp
@@ -6,6 +6,7 @@
 #include "FrontEnds/HttpHandler.h"
 #include "Kernel/Counter.h"
 #include "Kernel/Metrics.h"
+#include "Net/MessageFraming.h"
 #include "Net/SocketState.h"
 #include "Pipeline/DaemonContext.h"
 #include "Settings/ProcessSettings.h"
@@ -104,9 +105,18 @@
         boost::system::error_code ignored;
         m_socket.cancel(ignored);
     });
+    const auto [headError, headSize] = co_await Http::async_read_header(m_socket, m_buffer, parser, Asio::as_tuple(Asio::use_awaitable));
+    if (headError) {
+        code = resultCodeForReadError(headError, timer.expired(), headSize > 0 || m_buffer.size() > 0);
+        co_return std::nullopt;
+    }
+    if (MessageFraming::findFault(parser.get(), parser.get().version())) {
+        code = ResultCode::MalformedRequest;
+        co_return std::nullopt;
+    }
     const auto [ec, n] = co_await Http::async_read(m_socket, m_buffer, parser, Asio::as_tuple(Asio::use_awaitable));
     if (ec) {
-        code = resultCodeForReadError(ec, timer.expired(), n > 0 || m_buffer.size() > 0);
+        code = resultCodeForReadError(ec, timer.expired(), true);
         co_return std::nullopt;
     }
     co_return parser.release();
--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -2,6 +2,7 @@
 
 #include "Flow/DeadlineTimer.h"
 #include "Net/Connection.h"
+#include "Net/MessageFraming.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -103,7 +104,7 @@
     const auto [ec, n]
         = co_await Http::async_read(m_connection->socket(), m_connection->buffer(), parser, Asio::as_tuple(Asio::use_awaitable));
     // After an interim response, the final one would be taken for the response to the next call.
-    if (ec || parser.get().result_int() < firstFinalStatus) {
+    if (ec || parser.get().result_int() < firstFinalStatus || MessageFraming::findFault(parser.get(), parser.get().version())) {
         co_return std::nullopt;
     }
     Response response{parser.get().result_int(), std::move(parser.get().body()), std::string(parser.get()[loadHeader]), {}};
--- a/Source/Relay/RelaySession.cpp
+++ b/Source/Relay/RelaySession.cpp
@@ -7,6 +7,7 @@
 #include "FrontEnds/RefusalJson.h"
 #include "Kernel/Counter.h"
 #include "Kernel/Metrics.h"
+#include "Net/MessageFraming.h"
 #include "Net/SocketState.h"
 #include "Relay/RelayCodec.h"
 #include "Relay/RelayJob.h"
@@ -166,6 +167,10 @@
             co_return std::nullopt;
         }
     }
+    if (const std::optional<std::string> fault = MessageFraming::findFault(parser.get(), parser.get().version())) {
+        co_await rejectRequest(ResultCode::MalformedRequest, *fault);
+        co_return std::nullopt;
+    }
     m_keepAlive = parser.keep_alive();
     const bool read = co_await readBody(parser);
     if (!read) {
--- a/Source/Relay/UpstreamExchange.cpp
+++ b/Source/Relay/UpstreamExchange.cpp
@@ -2,6 +2,7 @@
 
 #include "Flow/DeadlineTimer.h"
 #include "Net/Connection.h"
+#include "Net/MessageFraming.h"
 #include "Relay/RelayCodec.h"
 #include "Targets/ConnectionTable.h"
 
@@ -73,6 +74,10 @@
         recordReadError(ec);
         co_return std::nullopt;
     }
+    if (const std::optional<std::string> fault = MessageFraming::findFault(m_parser->get(), m_parser->get().version())) {
+        m_invalidity = *fault;
+        co_return std::nullopt;
+    }
     co_return m_codec.parseResponse(m_parser->get().base());
 }
 
--- a/Source/Site/StatusServer.cpp
+++ b/Source/Site/StatusServer.cpp
@@ -1,6 +1,7 @@
 #include "Site/StatusServer.h"
 
 #include "Flow/DeadlineTimer.h"
+#include "Net/MessageFraming.h"
 #include "Net/ReadBuffer.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -8,6 +9,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
@@ -54,11 +56,16 @@
     ReadBuffer buffer;
     while (socket.is_open()) {
         const DeadlineTimer idle(socket.get_executor(), Clock::TimePoint::clock::now() + idleTimeout, [&socket] { socket.close(); });
-        Http::request<Http::empty_body> request;
-        const auto [readError, n] = co_await Http::async_read(socket, buffer, request, Asio::as_tuple(Asio::use_awaitable));
+        Http::request_parser<Http::empty_body> parser;
+        const auto [headError, headSize] = co_await Http::async_read_header(socket, buffer, parser, Asio::as_tuple(Asio::use_awaitable));
+        if (headError || MessageFraming::findFault(parser.get(), parser.get().version())) {
+            co_return;
+        }
+        const auto [readError, n] = co_await Http::async_read(socket, buffer, parser, Asio::as_tuple(Asio::use_awaitable));
         if (readError) {
             co_return;
         }
+        const Http::request<Http::empty_body> request = parser.release();
         Response page = m_handler(std::string(request.target()));
         Http::response<Http::string_body> response(static_cast<Http::status>(page.status), request.version());
         response.set(Http::field::content_type, "text/plain");
--- a/Source/Targets/TargetExchange.cpp
+++ b/Source/Targets/TargetExchange.cpp
@@ -5,6 +5,7 @@
 #include "Flow/TokenSink.h"
 #include "Net/BufferBudget.h"
 #include "Net/Connection.h"
+#include "Net/MessageFraming.h"
 #include "Tables/Slot.h"
 #include "Targets/ConnectionTable.h"
 #include "Targets/LoadHeader.h"
@@ -140,6 +141,10 @@
         finishInterrupted("the connection was closed before the response header was received");
         co_return;
     }
+    if (const std::optional<std::string> fault = MessageFraming::findFault(m_parser->get(), m_parser->get().version())) {
+        finish(StageAttemptOutcome::Invalid, *fault);
+        co_return;
+    }
     if (!checkHeader(parameters)) {
         co_return;
     }
