End answers to HEAD with their head

A client sends HEAD; the daemon waits for a body that the target's answer does not have, answers 504 with a body at the deadline, and the client's next request on the connection gets that body for an answer, on 3 of 3 connections.

Cause: where an answer ends depends on the request, and both ends of the daemon derived it from the answer alone. Related paths: refusals, readiness, metrics and the product's own interfaces sent bodies to HEAD too, and a target's 204 was passed on with a length.

Change: a target's answer to HEAD is complete with its head and never a stream. RelaySession, HttpExchange and StatusServer send no body to HEAD, and RelaySession neither a length nor a body with 204 and 304.

--- a/Fakes/FakeFleetTarget.cpp
+++ b/Fakes/FakeFleetTarget.cpp
@@ -52,7 +52,8 @@
     static const std::map<Fault, Replacement> table{{Fault::ErrorInstead, {500, "the engine failed\n\n"}},
                                                     {Fault::RejectionInstead, {400, "the engine rejects this\n\n"}},
                                                     {Fault::DocumentInstead, {200, "{\"document\":1}\n\n"}},
-                                                    {Fault::EmptyInstead, {200, ""}}};
+                                                    {Fault::EmptyInstead, {200, ""}},
+                                                    {Fault::NoContentInstead, {204, ""}}};
     return table;
 }
 
@@ -365,6 +366,11 @@
         }
         co_return false;
     }
+    if (request.method() == Http::verb::head) {
+        const std::string head = responseHead(request, "Content-Length: 100\r\n");
+        const auto [ec, n] = co_await Asio::async_write(socket, Asio::buffer(head), Asio::as_tuple(Asio::use_awaitable));
+        co_return !ec;
+    }
     const Fault fault = consumeFault(m_faults);
     if (fault == Fault::Refuse || fault == Fault::RefuseById) {
         co_return co_await refuse(socket, request, fault);
--- a/Fakes/FakeFleetTarget.h
+++ b/Fakes/FakeFleetTarget.h
@@ -49,6 +49,7 @@
         RejectionInstead, ///< As above, with a client error.
         DocumentInstead, ///< As above, with a complete document that is no stream.
         EmptyInstead, ///< As above, with an empty response.
+        NoContentInstead, ///< As above, with status 204.
         CutHead, ///< Closes the connection within the head of the response, after the length given by setHeadLength().
         UntilClose, ///< Sends a response without a length or chunks, which ends with its connection.
         UntilCloseEmpty, ///< As above, but closes the connection after the head.
--- a/Source/FrontEnds/HttpExchange.cpp
+++ b/Source/FrontEnds/HttpExchange.cpp
@@ -76,19 +76,18 @@
 
 Asio::awaitable<void> HttpExchange::respond(unsigned status, std::string_view contentType, std::string body)
 {
-    Http::response<Http::string_body> response(Http::int_to_status(status), httpVersion);
+    Response response(Http::int_to_status(status), httpVersion);
     response.set(Http::field::content_type, boost::beast::string_view(contentType.data(), contentType.size()));
     response.keep_alive(m_keepAlive);
     response.body() = std::move(body);
     response.prepare_payload();
-    const auto [ec, n] = co_await Http::async_write(m_socket, response, Asio::as_tuple(Asio::use_awaitable));
-    m_keepAlive = m_keepAlive && !ec;
+    co_await write(response);
 }
 
 Asio::awaitable<void> HttpExchange::refuse(Refusal refusal, std::string requestId)
 {
     const ResultCodeInfo &info = resultCodeInfo(refusal.code);
-    Http::response<Http::string_body> response(Http::status::ok, httpVersion);
+    Response response(Http::status::ok, httpVersion);
     response.result(info.httpStatus);
     response.set(Http::field::content_type, "application/json");
     if (refusal.retryAfter) {
@@ -98,6 +97,14 @@
     response.keep_alive(m_keepAlive);
     response.body() = boost::json::serialize(RefusalJson::fromRefusal(refusal, requestId));
     response.prepare_payload();
+    co_await write(response);
+}
+
+Asio::awaitable<void> HttpExchange::write(Response &response)
+{
+    if (m_request.method() == Http::verb::head) {
+        response.body().clear(); // Its length stays in the head.
+    }
     const auto [ec, n] = co_await Http::async_write(m_socket, response, Asio::as_tuple(Asio::use_awaitable));
     m_keepAlive = m_keepAlive && !ec;
 }
--- a/Source/FrontEnds/HttpExchange.h
+++ b/Source/FrontEnds/HttpExchange.h
@@ -57,6 +57,11 @@
     bool keepAlive() const;
 
 private:
+    using Response = boost::beast::http::response<boost::beast::http::string_body>;
+
+    /// Sends a response, without its body if the request is HEAD.
+    boost::asio::awaitable<void> write(Response &response);
+
     boost::asio::ip::tcp::socket &m_socket;
     Request m_request;
     std::shared_ptr<Cancellation> m_cancellation;
--- a/Source/Relay/OpaqueRequest.h
+++ b/Source/Relay/OpaqueRequest.h
@@ -31,6 +31,12 @@
     std::string lastEventId; ///< Last stream event that the client received in an earlier attempt.
     Clock::TimePoint receivedAt;
 
+    /// Returns whether the response ends with its head.
+    bool isHead() const
+    {
+        return method == "HEAD";
+    }
+
     /// Returns the request target without the query.
     std::string path() const
     {
--- a/Source/Relay/RelayAttempt.cpp
+++ b/Source/Relay/RelayAttempt.cpp
@@ -132,7 +132,7 @@
             m_exchange.close();
         });
     }
-    std::optional<UpstreamResponseHead> head = co_await m_exchange.head();
+    std::optional<UpstreamResponseHead> head = co_await m_exchange.head(m_parameters.request.isHead());
     firstByteTimer.reset();
     if (!head) {
         co_return makeFailureOutcome();
@@ -161,8 +161,8 @@
 
 bool RelayAttempt::isStream(const UpstreamResponseHead &head) const
 {
-    return m_parameters.route.semantics == ExecutionSemantics::Stream && head.isSuccess() && head.isSigned && !head.hasContentEncoding
-        && (!m_progress.started || head.mediaType == m_progress.mediaType);
+    return m_parameters.route.semantics == ExecutionSemantics::Stream && !m_parameters.request.isHead() && head.isSuccess() && head.isSigned
+        && !head.hasContentEncoding && (!m_progress.started || head.mediaType == m_progress.mediaType);
 }
 
 Asio::awaitable<AttemptOutcome> RelayAttempt::readComplete(UpstreamResponseHead head)
--- a/Source/Relay/RelaySession.cpp
+++ b/Source/Relay/RelaySession.cpp
@@ -167,6 +167,7 @@
             co_return std::nullopt;
         }
     }
+    m_isHeadRequest = parser.get().method() == Http::verb::head;
     if (const std::optional<std::string> fault = MessageFraming::findFault(parser.get(), parser.get().version())) {
         co_await rejectRequest(ResultCode::MalformedRequest, *fault);
         co_return std::nullopt;
@@ -226,6 +227,19 @@
     return text;
 }
 
+std::string RelaySession::formatResponse(unsigned status, const HttpFields &fields, const std::string &body)
+{
+    const std::string head = formatHead(status, fields);
+    if (status == static_cast<unsigned>(Http::status::no_content) || status == static_cast<unsigned>(Http::status::not_modified)) {
+        return head + "\r\n";
+    }
+    // The body of a response to HEAD is unknown if a target made it, and so is its length.
+    if (m_isHeadRequest) {
+        return head + "\r\n";
+    }
+    return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 Asio::awaitable<bool> RelaySession::write(std::string text)
 {
     const auto [ec, n] = co_await Asio::async_write(m_socket, Asio::buffer(text), Asio::as_tuple(Asio::use_awaitable));
@@ -237,7 +251,7 @@
 
 Asio::awaitable<bool> RelaySession::sendComplete(const UpstreamResponseHead &head, const std::string &body)
 {
-    co_return co_await write(formatHead(head.status, head.headers) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    co_return co_await write(formatResponse(head.status, head.headers, body));
 }
 
 Asio::awaitable<bool> RelaySession::startStream(const UpstreamResponseHead &head)
@@ -266,7 +280,7 @@
     }
     const std::string body = boost::json::serialize(RefusalJson::fromRefusal(refusal, {}));
     const unsigned status = m_context.codec.httpStatus(refusal);
-    co_return co_await write(formatHead(status, fields) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    co_return co_await write(formatResponse(status, fields, body));
 }
 
 void RelaySession::abortStream()
--- a/Source/Relay/RelaySession.h
+++ b/Source/Relay/RelaySession.h
@@ -59,6 +59,8 @@
     boost::asio::awaitable<bool> rejectRequest(ResultCode code, std::string reason);
     boost::asio::awaitable<bool> write(std::string text);
     std::shared_ptr<DisconnectWatch> watchForDisconnect(const std::shared_ptr<Cancellation> &cancellation);
+    /// Returns a response with its length, and with its body if the request and the status permit one.
+    std::string formatResponse(unsigned status, const HttpFields &fields, const std::string &body);
     std::string formatHead(unsigned status, const HttpFields &fields);
     bool closesAfterResponse() const;
 
@@ -67,6 +69,7 @@
     SharedState &m_sharedState;
     ReadBuffer m_buffer;
     std::string m_pendingHead; ///< Headers of a streamed response, sent together with its first chunk.
+    bool m_isHeadRequest = false;
     bool m_keepAlive = true;
     bool m_closeAnnounced = false; ///< The client was told in a response that its connection ends.
 };
--- a/Source/Relay/UpstreamExchange.cpp
+++ b/Source/Relay/UpstreamExchange.cpp
@@ -64,10 +64,11 @@
         Asio::bind_executor(m_strand, [pendingWrite](const boost::system::error_code &ec, std::size_t) { pendingWrite->done = !ec; }));
 }
 
-Asio::awaitable<std::optional<UpstreamResponseHead>> UpstreamExchange::head()
+Asio::awaitable<std::optional<UpstreamResponseHead>> UpstreamExchange::head(bool isHeadRequest)
 {
     m_parser.emplace();
     m_parser->body_limit(maxResponseBytes);
+    m_parser->skip(isHeadRequest);
     const auto [ec, n]
         = co_await Http::async_read_header(m_connection->socket(), m_connection->buffer(), *m_parser, Asio::as_tuple(Asio::use_awaitable));
     if (ec) {
--- a/Source/Relay/UpstreamExchange.h
+++ b/Source/Relay/UpstreamExchange.h
@@ -42,8 +42,9 @@
     /// Starts writing a request without waiting, since a target may respond before it has read all of it.
     void send(std::string text);
 
-    /// Reads the response headers. Returns nullopt if the connection is lost or they are not valid HTTP.
-    boost::asio::awaitable<std::optional<UpstreamResponseHead>> head();
+    /// Reads the response headers. Returns nullopt if the connection is lost or they are not valid HTTP. The response to a HEAD request
+    /// is complete then.
+    boost::asio::awaitable<std::optional<UpstreamResponseHead>> head(bool isHeadRequest);
 
     /// Returns what made the response unreadable, or an empty string if it was readable as far as it was received.
     const std::string &invalidity() const;
--- a/Source/Site/StatusServer.cpp
+++ b/Source/Site/StatusServer.cpp
@@ -72,6 +72,9 @@
         response.keep_alive(request.keep_alive());
         response.body() = std::move(page.body);
         response.prepare_payload();
+        if (request.method() == Http::verb::head) {
+            response.body().clear(); // Its length stays in the head.
+        }
         const auto [writeError, m] = co_await Http::async_write(socket, response, Asio::as_tuple(Asio::use_awaitable));
         if (writeError || !request.keep_alive()) {
             co_return;
