--- a/Tests/Fleet/FollowerTest.cpp
+++ b/Tests/Fleet/FollowerTest.cpp
@@ -28,7 +28,7 @@
     using Milliseconds = std::chrono::milliseconds;
 
     static constexpr const char *value
-        = R"({"service":"plain","address":"127.0.0.1:1000","zone":"north","state":"ready","cold_remaining_ms":0,"born":1})";
+        = R"({"service":"plain","address":"127.0.0.1:1000","zone":"north","version":"v1","capacity":64,"state":"ready","cold_remaining_ms":0,"born":1,"sequence":1})";
 
     /// A store with two targets that can be made unavailable.
     class StubStore : public RecordStore
--- a/Tests/Relay/RelayCodecTest.cpp
+++ b/Tests/Relay/RelayCodecTest.cpp
@@ -7,7 +7,12 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
 #include <algorithm>
+#include <map>
 
 namespace Guavalock
 {
@@ -28,6 +33,7 @@
     CPPUNIT_TEST(lastPromptPartIsNotShared);
     CPPUNIT_TEST(batchResultsMatchPieceOrder);
     CPPUNIT_TEST(invalidTargetRecordsAreRejected);
+    CPPUNIT_TEST(incompleteTargetRecordsNameNoTarget);
     CPPUNIT_TEST(configurationIsDecoded);
     CPPUNIT_TEST(eventsAreSplitAtBoundaries);
     CPPUNIT_TEST_SUITE_END();
@@ -263,7 +269,8 @@
     {
         const PlatformRecordCodec codec;
         Reason reason;
-        const std::string good = R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready","cold_remaining_ms":40,"born":7})";
+        const std::string good
+            = R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","capacity":64,"state":"ready","cold_remaining_ms":40,"born":7,"sequence":1})";
         CPPUNIT_ASSERT(codec.target("i-1", good, reason)->coldRemaining == std::chrono::milliseconds(40));
         for (const std::string text :
              {"", "[]", "\xff\xfe", R"({"service":"s"})", R"({"service":1,"address":"10.0.0.1:80","zone":"z","state":"ready"})",
@@ -273,6 +280,34 @@
         }
     }
 
+    /// Records of other writers may lack fields or hold values of another type.
+    void incompleteTargetRecordsNameNoTarget()
+    {
+        namespace Json = boost::json;
+        const PlatformRecordCodec codec;
+        const Json::object good{
+            {"service", "s"},   {"address", "10.0.0.1:80"}, {"zone", "z"},   {"version", "v1"}, {"capacity", 64},
+            {"state", "ready"}, {"cold_remaining_ms", 40},  {"sequence", 1}, {"born", 7},       {"new_field", Json::array{1, "a"}}};
+        const auto accepts = [&](const Json::object &record) {
+            Reason reason;
+            return codec.target("i-1", Json::serialize(record), reason).has_value();
+        };
+        CPPUNIT_ASSERT(accepts(good));
+        const std::map<std::string, std::vector<Json::value>> wrongValues{
+            {"service", {1, nullptr}},           {"address", {Json::array{}, true}}, {"zone", {Json::object{}, 7}},
+            {"version", {Json::array{}}},        {"capacity", {"six", nullptr, -1}}, {"state", {1, "asleep"}},
+            {"cold_remaining_ms", {"none", -5}}, {"sequence", {"x", -1, 1.5}},       {"born", {"today", 7.5, -7}}};
+        for (const auto &[field, values] : wrongValues) {
+            Json::object record = good;
+            record.erase(field);
+            CPPUNIT_ASSERT_MESSAGE(field + " is missing", !accepts(record) || field == "born");
+            for (const Json::value &it : values) {
+                record[field] = it;
+                CPPUNIT_ASSERT_MESSAGE(field + ' ' + Json::serialize(it), !accepts(record));
+            }
+        }
+    }
+
     void configurationIsDecoded()
     {
         const PlatformRecordCodec codec;
--- a/Tests/Site/FuzzTest.cpp
+++ b/Tests/Site/FuzzTest.cpp
@@ -39,7 +39,7 @@
     static const std::string &targetRecord()
     {
         static const std::string text
-            = R"({"service":"plain","address":"10.1.2.3:8080","zone":"north","state":"ready","capacity":64,"cold_remaining_ms":250,"born":1767225600000,"sequence":4})";
+            = R"({"service":"plain","address":"10.1.2.3:8080","zone":"north","version":"v1","state":"ready","capacity":64,"cold_remaining_ms":250,"born":1767225600000,"sequence":4})";
         return text;
     }
 
--- a/Tests/Site/SiteFleet.cpp
+++ b/Tests/Site/SiteFleet.cpp
@@ -111,9 +111,14 @@
 void SiteFleet::writeTarget(const std::string &name, const std::string &state)
 {
     const TargetLocation &location = m_targetLocations.at(name);
-    const boost::json::object entry{{"service", location.service}, {"address", FakeAddress::text() + ":" + std::to_string(location.port)},
-                                    {"zone", location.dataCentre}, {"state", state},
-                                    {"cold_remaining_ms", 0},      {"born", 1},
+    const boost::json::object entry{{"service", location.service},
+                                    {"address", FakeAddress::text() + ":" + std::to_string(location.port)},
+                                    {"zone", location.dataCentre},
+                                    {"state", state},
+                                    {"version", "v1"},
+                                    {"capacity", 64},
+                                    {"cold_remaining_ms", 0},
+                                    {"born", 1},
                                     {"sequence", ++m_lastSequence}};
     m_store->put("keyed.servers", name, boost::json::serialize(entry));
 }
--- a/Tests/Site/SiteTest.cpp
+++ b/Tests/Site/SiteTest.cpp
@@ -173,8 +173,9 @@
     void unreachableTargetsCostNoRepeat()
     {
         SiteFleet fleet(1);
-        fleet.store().put("keyed.servers", "plain-0",
-                          R"({"service":"plain","address":"127.0.0.1:9","zone":"north","state":"ready","cold_remaining_ms":0,"born":1})");
+        fleet.store().put(
+            "keyed.servers", "plain-0",
+            R"({"service":"plain","address":"127.0.0.1:9","zone":"north","version":"v1","capacity":64,"state":"ready","cold_remaining_ms":0,"born":1,"sequence":1})");
         fleet.start();
         SiteSettings settings;
         settings.retryLimits = {0, 0, std::chrono::seconds(10)};
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -123,6 +123,10 @@
     const std::size_t port = (it->second == "stage" ? targetPort : targetLinkPort) + number;
     Json::object entry{{"service", it->second}, {"address", local(port).text()}, {"zone", dataCentre(number)}};
     entry["state"] = state;
+    entry["version"] = "v1";
+    entry["capacity"] = 64;
+    entry["cold_remaining_ms"] = 0;
+    entry["sequence"] = ++m_targetSequence;
     entry["born"] = 1;
     m_store->put("keyed.servers", name, Json::serialize(entry));
 }
--- a/Tests/Soak/SoakRun.h
+++ b/Tests/Soak/SoakRun.h
@@ -110,6 +110,7 @@
     std::vector<std::pair<TimePoint, TimePoint>> m_excusedPeriods; ///< Periods in which connections may break.
     std::size_t m_injectedFaultCount = 0;
     std::uint64_t m_configurationVersion = 0;
+    std::uint64_t m_targetSequence = 0; ///< Of target records.
 };
 
 } // namespace Guavalock
