--- a/Source/Daemon/main.cpp
+++ b/Source/Daemon/main.cpp
@@ -59,7 +59,7 @@
     try {
         daemon.start();
     } catch (const boost::system::system_error &e) {
-        std::cerr << "guavalockd: cannot listen: " << e.what() << "; check the addresses in the settings\n";
+        std::cerr << "guavalockd: cannot listen: " << e.what() << "; check the addresses in the settings and which process uses them\n";
         return exitListenFailed;
     }
     using Signal = SignalReceiver::Signal;
@@ -87,7 +87,11 @@
     Reason reason;
     std::optional<SiteSettings> settings;
     const auto areComplete = [&] {
+        const bool isFirst = reason.text.empty();
         settings = site->settings({}, reason);
+        if (!settings && isFirst) {
+            std::cerr << "guavalockd: waiting for the settings: " << reason.text << '\n';
+        }
         return settings.has_value();
     };
     const StartupWait::Result result = StartupWait(signals).until(areComplete, settingsTimeout);
--- a/Source/Net/AddressCheck.cpp
+++ b/Source/Net/AddressCheck.cpp
@@ -18,6 +18,7 @@
         acceptor.open(local.protocol(), ec);
         acceptor.set_option(Asio::socket_base::reuse_address(true), ec);
         acceptor.bind(local, ec);
+        // Any other error is reported by the server's own start.
         if (ec == Asio::error::address_in_use || ec == boost::system::errc::address_not_available) {
             return Unavailable{it, ec};
         }
--- a/Source/Relay/RelayFrontEnd.h
+++ b/Source/Relay/RelayFrontEnd.h
@@ -18,7 +18,7 @@
     /// Starts listening. Throws boost::system::system_error if the address cannot be bound.
     void start();
 
-    /// Closes each connection after its next response, or after the one after it if that response has begun.
+    /// Closes each connection after the next response that can announce it.
     void startDraining();
 
     /// Stops accepting connections and refuses new requests on open ones.
