Do not pass on statuses that deny a run the target has not denied

Cause: a target states by a header that it did not execute a request, a client reads it from the status. RelayJob::onResponse passed every complete, signed response on without translating between the two.

Change: the codec marks responses whose status denies the execution. Such a request is retried where its route allows it and answered with 502 otherwise, without signature and Retry-After. The run counts as unknown, so that a later refusal of the same request is no promise either.

Ruled out: the statement of the target is not lost on the way; refusals with it are retried and refused with 503 as before.

--- a/Fakes/FakeFleetTarget.cpp
+++ b/Fakes/FakeFleetTarget.cpp
@@ -53,7 +53,10 @@
                                                     {Fault::RejectionInstead, {400, "the engine rejects this\n\n"}},
                                                     {Fault::DocumentInstead, {200, "{\"document\":1}\n\n"}},
                                                     {Fault::EmptyInstead, {200, ""}},
-                                                    {Fault::NoContentInstead, {204, ""}}};
+                                                    {Fault::NoContentInstead, {204, ""}},
+                                                    {Fault::TimeoutInstead, {408, "the engine failed\n\n"}},
+                                                    {Fault::TooManyInstead, {429, "the engine failed\n\n"}},
+                                                    {Fault::UnavailableInstead, {503, "the engine failed\n\n"}}};
     return table;
 }
 
--- a/Fakes/FakeFleetTarget.h
+++ b/Fakes/FakeFleetTarget.h
@@ -50,6 +50,9 @@
         DocumentInstead, ///< As above, with a complete document that is no stream.
         EmptyInstead, ///< As above, with an empty response.
         NoContentInstead, ///< As above, with status 204.
+        TimeoutInstead, ///< As above, with status 408, which clients take for a statement that the request was not executed.
+        TooManyInstead, ///< As above, with status 429.
+        UnavailableInstead, ///< As above, with status 503.
         CutHead, ///< Closes the connection within the head of the response, after the length given by setHeadLength().
         UntilClose, ///< Sends a response without a length or chunks, which ends with its connection.
         UntilCloseEmpty, ///< As above, but closes the connection after the head.
--- a/Source/Relay/RelayJob.cpp
+++ b/Source/Relay/RelayJob.cpp
@@ -349,12 +349,20 @@
 Asio::awaitable<RelayJob::NextStep> RelayJob::onResponse(AttemptOutcome &outcome)
 {
     ++m_possibleExecutions;
-    m_history.runState = RunState::Yes;
+    // Without the target's own statement, a status that denies the execution proves nothing.
+    const bool deniesExecution = outcome.head.deniesExecution;
+    m_history.runState = deniesExecution ? RunState::Unknown : RunState::Yes;
     m_selection->addTried(m_history.lastTarget);
-    if (outcome.head.status >= 500 && acquireRetry()) {
+    if ((deniesExecution || outcome.head.status >= 500) && acquireRetry()) {
         m_completion.recordRetry("target-error", remainingTime());
         co_return NextStep::Retry;
     }
+    if (deniesExecution) {
+        co_await m_completion.refuse(ResultCode::AnswerInvalid,
+                                     "target " + m_history.lastTarget + " responded with HTTP status " + std::to_string(outcome.head.status)
+                                         + " and did not state that it did not execute the request");
+        co_return NextStep::Done;
+    }
     co_await m_sink.sendComplete(outcome.head, outcome.body);
     m_completion.log("answered", outcome.head.status);
     co_return NextStep::Done;
--- a/Source/Relay/RequestCompletion.cpp
+++ b/Source/Relay/RequestCompletion.cpp
@@ -64,8 +64,8 @@
     }
     const std::optional<Milliseconds> retryAfter = m_refusal.retryAfter;
     const bool mayHaveRun = m_history.runState != RunState::No;
-    m_refusal = Refusal::of(mayHaveRun ? (code == ResultCode::DeadlineExceeded ? code : ResultCode::OutcomeUnknown) : code,
-                            m_history.runState, std::move(reason));
+    const bool admitsRun = code == ResultCode::DeadlineExceeded || code == ResultCode::AnswerInvalid;
+    m_refusal = Refusal::of(mayHaveRun && !admitsRun ? ResultCode::OutcomeUnknown : code, m_history.runState, std::move(reason));
     m_refusal.retryAfter = mayHaveRun ? std::nullopt : retryAfter;
     co_await sendRefusal();
 }
