Tell an empty list of organisations from none

Cause: Catalogue::hasOrganisations returned whether the list had entries; the decoder did not keep whether it was there. Lists that could not be read counted as empty as well.

Change: the list is optional in Catalogue::Content, and requiresApiKey returns whether it was there. A configuration with a field of another type replaces nothing. The configuration's log line states whether API keys are required.

--- a/Source/Fleet/Catalogue.cpp
+++ b/Source/Fleet/Catalogue.cpp
@@ -62,9 +62,11 @@
             m_modelServices.push_back(it.name);
         }
     }
-    for (const OrganisationRecord &it : m_content.organisations) {
-        for (const std::string &key : it.keys) {
-            m_organisationsByKey.emplace(key, &it);
+    if (m_content.organisations) {
+        for (const OrganisationRecord &it : *m_content.organisations) {
+            for (const std::string &key : it.keys) {
+                m_organisationsByKey.emplace(key, &it);
+            }
         }
     }
 }
@@ -111,9 +113,9 @@
     return it == m_organisationsByKey.end() ? nullptr : it->second;
 }
 
-bool Catalogue::hasOrganisations() const
+bool Catalogue::requiresApiKey() const
 {
-    return !m_content.organisations.empty();
+    return m_content.organisations.has_value();
 }
 
 const std::string &Catalogue::serviceFor(const RouteRecord &route, const std::string &requestId) const
--- a/Source/Fleet/Catalogue.h
+++ b/Source/Fleet/Catalogue.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,7 +24,8 @@
         std::uint64_t version = 0;
         std::vector<RouteRecord> routes;
         std::vector<ServiceRecord> services;
-        std::vector<OrganisationRecord> organisations;
+        /// Empty if the configuration has no list of organisations. An empty list admits only requests of anonymous routes.
+        std::optional<std::vector<OrganisationRecord>> organisations;
         CallerLimits limits;
     };
 
@@ -49,8 +51,9 @@
     /// Returns the organisation that an API key belongs to, or null.
     const OrganisationRecord *organisation(const std::string &key) const;
 
-    /// Returns whether any organisation is configured. If none is, requests need no API key.
-    bool hasOrganisations() const;
+    /// Returns whether requests need an API key unless their route is anonymous: whether the configuration has a list of organisations,
+    /// even an empty one.
+    bool requiresApiKey() const;
 
     /// Selects one of a route's services in proportion to their weights. The same request id always selects the same service.
     const std::string &serviceFor(const RouteRecord &route, const std::string &requestId) const;
--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -298,7 +298,9 @@
     if (const auto *catalogue = std::get_if<std::shared_ptr<const Catalogue>>(&*change)) {
         if (m_dependencies.catalogue.replaceIfNewer(*catalogue)) {
             Log::info("fleet", "configuration",
-                      {{"version", std::to_string((*catalogue)->version())}, {"offset", std::to_string(record.offset)}});
+                      {{"version", std::to_string((*catalogue)->version())},
+                       {"offset", std::to_string(record.offset)},
+                       {"api_keys", (*catalogue)->requiresApiKey() ? "required" : "none"}});
         }
         return;
     }
--- a/Source/Relay/RequestRoute.cpp
+++ b/Source/Relay/RequestRoute.cpp
@@ -26,7 +26,7 @@
     if (route == nullptr) {
         return refusal(ResultCode::UnknownPath, "no route matches this host and path");
     }
-    if (catalogue.hasOrganisations() && !route->allowsAnonymous) {
+    if (catalogue.requiresApiKey() && !route->allowsAnonymous) {
         organisation = catalogue.organisation(request.apiKey);
         if (organisation == nullptr) {
             return refusal(ResultCode::NotAuthorised, "the API key does not belong to any organisation");
--- a/Tests/Relay/RelayCodecTest.cpp
+++ b/Tests/Relay/RelayCodecTest.cpp
@@ -36,6 +36,8 @@
     CPPUNIT_TEST(invalidTargetRecordsAreRejected);
     CPPUNIT_TEST(incompleteTargetRecordsNameNoTarget);
     CPPUNIT_TEST(configurationIsDecoded);
+    CPPUNIT_TEST(keysAreNeededWithAListOfOrganisations);
+    CPPUNIT_TEST(configurationsWithFieldsOfAnotherTypeAreRejected);
     CPPUNIT_TEST(eventsAreSplitAtBoundaries);
     CPPUNIT_TEST_SUITE_END();
 
@@ -360,6 +362,36 @@
         CPPUNIT_ASSERT(!std::get<EvacuationChange>(*codec.operatorChange("evacuate/z", std::nullopt, reason)).evacuated);
     }
 
+    /// review/6: a configuration without a list of organisations was told apart from an empty one nowhere.
+    void keysAreNeededWithAListOfOrganisations()
+    {
+        const PlatformRecordCodec codec;
+        Reason reason;
+        const auto requiresKey = [&](const std::string &text) {
+            const auto change = codec.operatorChange("config", text, reason);
+            CPPUNIT_ASSERT_MESSAGE(text + reason.text, change);
+            return std::get<std::shared_ptr<const Catalogue>>(*change)->requiresApiKey();
+        };
+        CPPUNIT_ASSERT(!requiresKey(R"({"version":1})"));
+        CPPUNIT_ASSERT(requiresKey(R"({"version":1,"tenants":[]})"));
+        CPPUNIT_ASSERT(requiresKey(R"({"version":1,"tenants":[{"name":"t"}]})"));
+        CPPUNIT_ASSERT(requiresKey(R"({"version":1,"tenants":[{"name":"t","api_keys":[]}]})"));
+    }
+
+    /// A field that cannot be read must not count as an empty one.
+    void configurationsWithFieldsOfAnotherTypeAreRejected()
+    {
+        const PlatformRecordCodec codec;
+        for (const std::string field :
+             {R"("tenants":null)", R"("tenants":{})", R"("tenants":"t")", R"("tenants":[1])", R"("tenants":[{"api_keys":[]}])",
+              R"("tenants":[{"name":"t","api_keys":"k"}])", R"("tenants":[{"name":"t","api_keys":[1]}])", R"("routes":{})",
+              R"("routes":[1])", R"("services":null)", R"("limits":[])", R"("version":"2")", R"("version":1.5)"}) {
+            Reason reason;
+            CPPUNIT_ASSERT_MESSAGE(field, !codec.operatorChange("config", "{" + field + "}", reason));
+            CPPUNIT_ASSERT(reason.code == ResultCode::SettingsInvalid);
+        }
+    }
+
     void eventsAreSplitAtBoundaries()
     {
         EventSplitter splitter;
--- a/Tests/Site/SiteFleet.cpp
+++ b/Tests/Site/SiteFleet.cpp
@@ -91,6 +91,11 @@
 }
 
 void SiteFleet::configure(std::uint64_t version, const std::string &keys)
+{
+    configureOrganisations(version, R"([{"name":"mill","api_keys":[)" + keys + "]}]");
+}
+
+void SiteFleet::configureOrganisations(std::uint64_t version, const std::string &value)
 {
     const std::string text = R"({"version":)" + std::to_string(version) + R"(,"routes":[
         {"name":"safe","hostname":"h","path_prefix":"/safe/","type":"idempotent","timeout_ms":2000,"target_latency_ms":300,"service":"plain","max_attempts":2},
@@ -103,9 +108,8 @@
         {"name":"lasting","hostname":"h","path_prefix":"/lasting-stream/","type":"streaming","timeout_ms":20000,"target_latency_ms":12000,"service":"model","max_attempts":2,"resumable":true},
         {"name":"resume","hostname":"h","path_prefix":"/streamed/","type":"streaming","timeout_ms":4000,"target_latency_ms":1000,"service":"model","max_attempts":2,"resumable":true},
         {"name":"resume-twice","hostname":"h","path_prefix":"/streamed-twice/","type":"streaming","timeout_ms":4000,"target_latency_ms":1000,"service":"model","max_attempts":3,"resumable":true}],
-        "services":[{"name":"plain","max_connections":8},{"name":"model","engine_id":{"capacity":64,"kv_capacity":400000}},{"name":"stage","fragments":{"capacity":1,"queue":2,"batch":8,"call_ms":30,"item_ms":1,"headroom_mb":1,"handle_s":4}}],
-        "tenants":[{"name":"mill","api_keys":[)"
-        + keys + "]}]}";
+        "services":[{"name":"plain","max_connections":8},{"name":"model","engine_id":{"capacity":64,"kv_capacity":400000}},{"name":"stage","fragments":{"capacity":1,"queue":2,"batch":8,"call_ms":30,"item_ms":1,"headroom_mb":1,"handle_s":4}}])"
+        + (value.empty() ? "" : ",\"tenants\":" + value) + "}";
     m_store->put("keyed.op", "config", text);
 }
 
--- a/Tests/Site/SiteFleet.h
+++ b/Tests/Site/SiteFleet.h
@@ -56,6 +56,9 @@
     /// Publishes a configuration with the given version and the API keys of its only organisation, as comma-separated JSON strings.
     void configure(std::uint64_t version, const std::string &keys);
 
+    /// As above, with the given JSON value in place of the list of organisations, or without that field if the value is empty.
+    void configureOrganisations(std::uint64_t version, const std::string &value);
+
     void writeTarget(const std::string &name, const std::string &state, const std::string &version = "v1");
     void removeTarget(const std::string &name);
 
