Take no response with an impossible status code

Cause: the HTTP parser accepts any three digits. Only HttpClient checked the number, and only against interim responses.

Change: MessageFraming::findResponseFault rejects statuses outside 200 to 599 together with unreliable framing. The clients towards targets, stage targets, the store and targets of pipelines use it.

--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -20,7 +20,6 @@
 {
 
 constexpr unsigned httpVersion = 11;
-constexpr unsigned firstFinalStatus = 200;
 constexpr const char *loadHeader = "X-Load";
 
 } // namespace
@@ -103,8 +102,7 @@
     parser.body_limit(m_maxResponseBytes);
     const auto [ec, n]
         = co_await Http::async_read(m_connection->socket(), m_connection->buffer(), parser, Asio::as_tuple(Asio::use_awaitable));
-    // After an interim response, the final one would be taken for the response to the next call.
-    if (ec || parser.get().result_int() < firstFinalStatus || MessageFraming::findFault(parser.get(), parser.get().version())) {
+    if (ec || MessageFraming::findResponseFault(parser.get())) {
         co_return std::nullopt;
     }
     Response response{parser.get().result_int(), std::move(parser.get().body()), std::string(parser.get()[loadHeader]), {}};
--- a/Source/Net/MessageFraming.cpp
+++ b/Source/Net/MessageFraming.cpp
@@ -13,6 +13,8 @@
 {
 
 constexpr unsigned firstVersionWithChunks = 11;
+constexpr unsigned firstFinalStatus = 200; ///< Lower ones are interim responses (RFC 9110, section 15).
+constexpr unsigned lastStatus = 599;
 
 bool isDecimal(boost::beast::string_view text)
 {
@@ -45,4 +47,13 @@
     return std::nullopt;
 }
 
+std::optional<std::string> MessageFraming::findResponseFault(const Http::response_header<> &head)
+{
+    const unsigned status = head.result_int();
+    if (status < firstFinalStatus || status > lastStatus) {
+        return "the status code of a response must be between 200 and 599, not " + std::to_string(status);
+    }
+    return findFault(head, head.version());
+}
+
 } // namespace Guavalock
--- a/Source/Relay/UpstreamExchange.cpp
+++ b/Source/Relay/UpstreamExchange.cpp
@@ -75,7 +75,7 @@
         recordReadError(ec);
         co_return std::nullopt;
     }
-    if (const std::optional<std::string> fault = MessageFraming::findFault(m_parser->get(), m_parser->get().version())) {
+    if (const std::optional<std::string> fault = MessageFraming::findResponseFault(m_parser->get())) {
         m_invalidity = *fault;
         co_return std::nullopt;
     }
--- a/Source/Targets/TargetExchange.cpp
+++ b/Source/Targets/TargetExchange.cpp
@@ -141,7 +141,7 @@
         finishInterrupted("the connection was closed before the response header was received");
         co_return;
     }
-    if (const std::optional<std::string> fault = MessageFraming::findFault(m_parser->get(), m_parser->get().version())) {
+    if (const std::optional<std::string> fault = MessageFraming::findResponseFault(m_parser->get())) {
         finish(StageAttemptOutcome::Invalid, *fault);
         co_return;
     }
--- a/Tests/Net/MessageFramingTest.cpp
+++ b/Tests/Net/MessageFramingTest.cpp
@@ -2,6 +2,8 @@
 #include "FakeAddress.h"
 #include "SiteFleet.h"
 
+#include "Net/MessageFraming.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -22,6 +24,7 @@
     CPPUNIT_TEST(requestsWithinTheBodyOfAnotherDoNotRun);
     CPPUNIT_TEST(requestsWithAReliableLengthRun);
     CPPUNIT_TEST(noServerAnswersWhatFollowsAnUnreliableLength);
+    CPPUNIT_TEST(onlyFinalStatusCodesMakeAResponse);
     CPPUNIT_TEST_SUITE_END();
 
     struct Framing {
@@ -142,6 +145,23 @@
             }
         }
     }
+
+    /// All clients of the daemon use this check: towards targets, stage targets, the store and administrators' daemons.
+    void onlyFinalStatusCodesMakeAResponse()
+    {
+        boost::beast::http::response_header<> head;
+        head.version(11);
+        for (const unsigned status : {0U, 1U, 99U, 100U, 103U, 199U, 600U, 999U}) {
+            head.result(status);
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(status), MessageFraming::findResponseFault(head));
+        }
+        for (const unsigned status : {200U, 204U, 299U, 302U, 404U, 421U, 500U, 503U, 599U}) {
+            head.result(status);
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(status), !MessageFraming::findResponseFault(head));
+        }
+        head.set(boost::beast::http::field::transfer_encoding, "gzip");
+        CPPUNIT_ASSERT(MessageFraming::findResponseFault(head));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MessageFramingTest);
