Do not take a reset during the upload for the end of a response

Cause: the kernel reports a reset to one operation. UpstreamExchange reads while it writes; the write got the error, and the read saw a regular end.

Change: where the end of the connection ends a body, the exchange waits for the write of the request and fails unless it succeeded. Responses with a length or chunks are unaffected.

--- a/Source/Relay/UpstreamExchange.cpp
+++ b/Source/Relay/UpstreamExchange.cpp
@@ -27,6 +27,12 @@
 
 } // namespace
 
+UpstreamExchange::PendingWrite::PendingWrite(const Asio::any_io_executor &strand, std::string request)
+    : text(std::move(request))
+    , ended(strand, Clock::TimePoint::max())
+{
+}
+
 UpstreamExchange::UpstreamExchange(ConnectionTable &connections, const RelayCodec &codec, Asio::any_io_executor strand)
     : m_connections(connections)
     , m_codec(codec)
@@ -57,11 +63,23 @@
 
 void UpstreamExchange::send(std::string text)
 {
-    const auto pendingWrite = std::make_shared<PendingWrite>(PendingWrite{std::move(text), false});
+    const auto pendingWrite = std::make_shared<PendingWrite>(m_strand, std::move(text));
     m_pendingWrite = pendingWrite;
-    Asio::async_write(
-        m_connection->socket(), Asio::buffer(pendingWrite->text),
-        Asio::bind_executor(m_strand, [pendingWrite](const boost::system::error_code &ec, std::size_t) { pendingWrite->done = !ec; }));
+    const auto onEnd = [pendingWrite](const boost::system::error_code &ec, std::size_t) {
+        pendingWrite->isRunning = false;
+        pendingWrite->succeeded = !ec;
+        pendingWrite->ended.cancel();
+    };
+    Asio::async_write(m_connection->socket(), Asio::buffer(pendingWrite->text), Asio::bind_executor(m_strand, onEnd));
+}
+
+Asio::awaitable<bool> UpstreamExchange::finishWrite()
+{
+    const std::shared_ptr<PendingWrite> pendingWrite = m_pendingWrite;
+    while (pendingWrite->isRunning && !m_closed) {
+        co_await pendingWrite->ended.async_wait(Asio::as_tuple(Asio::use_awaitable));
+    }
+    co_return pendingWrite->succeeded;
 }
 
 Asio::awaitable<std::optional<UpstreamResponseHead>> UpstreamExchange::head(bool isHeadRequest)
@@ -113,12 +131,20 @@
     std::string &body = m_parser->get().body();
     data += body;
     body.clear();
+    if (m_parser->is_done() && endsWithConnection()) {
+        // The kernel reports a reset once. If the write of the request gets the error, the read sees a regular end of the connection.
+        const bool written = co_await finishWrite();
+        if (!written) {
+            m_invalidity = "the connection was lost before the target had received the request";
+            co_return ReadResult::Failed;
+        }
+    }
     co_return m_parser->is_done() ? ReadResult::Complete : ReadResult::More;
 }
 
 void UpstreamExchange::release(std::size_t maxIdle)
 {
-    const bool complete = m_pendingWrite && m_pendingWrite->done && m_parser && m_parser->is_done() && m_parser->keep_alive();
+    const bool complete = m_pendingWrite && m_pendingWrite->succeeded && m_parser && m_parser->is_done() && m_parser->keep_alive();
     if (!complete || m_closed || !m_connection->reusable()) {
         close();
         return;
--- a/Source/Relay/UpstreamExchange.h
+++ b/Source/Relay/UpstreamExchange.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -63,14 +64,21 @@
     void close();
 
 private:
-    void recordReadError(const boost::system::error_code &ec);
-
-    /// Shared with the write, which may complete after the exchange is destroyed.
+    /// The write of the request, which may complete after the exchange is destroyed. Used on the strand only.
     struct PendingWrite {
+        PendingWrite(const boost::asio::any_io_executor &strand, std::string request);
+
         std::string text;
-        bool done = false;
+        boost::asio::steady_timer ended; ///< Cancelled when the write ends.
+        bool isRunning = true;
+        bool succeeded = false;
     };
 
+    void recordReadError(const boost::system::error_code &ec);
+
+    /// Waits until the request has been written. Returns false if it was not written completely.
+    boost::asio::awaitable<bool> finishWrite();
+
     ConnectionTable &m_connections;
     const RelayCodec &m_codec;
     boost::asio::any_io_executor m_strand;
--- a/Tests/Site/EarlyResponsesTest.cpp
+++ b/Tests/Site/EarlyResponsesTest.cpp
@@ -11,6 +11,10 @@
 class EarlyResponsesTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(EarlyResponsesTest);
+    CPPUNIT_TEST(responsesThatAreResetDuringTheUploadDoNotLookWhole);
+    CPPUNIT_TEST(responsesThatEndWithTheirConnectionArriveWhole);
+    CPPUNIT_TEST(responsesWithALengthArriveWhole);
+    CPPUNIT_TEST(refusalsDuringTheUploadAreRefusals);
     CPPUNIT_TEST(impossibleStatusCodesAreNotPassedOn);
     CPPUNIT_TEST_SUITE_END();
 
@@ -79,6 +83,55 @@
     }
 
 public:
+    /// The error of a connection that was reset goes to the write in progress, and the reader sees a regular end of the response.
+    void responsesThatAreResetDuringTheUploadDoNotLookWhole()
+    {
+        Setup setup(smallBuffer);
+        for (const std::string &path : paths()) {
+            setup.target.setResponse(okLine, headers(path), body(path), Ending::Reset);
+            for (int it = 0; it < 3; ++it) {
+                const SiteFleet::Response response = setup.upload(path);
+                CPPUNIT_ASSERT_MESSAGE(path, response.status != 200 || !response.complete);
+            }
+        }
+    }
+
+    /// The check for a failed upload must not reject a response that ends with its connection in a regular way.
+    void responsesThatEndWithTheirConnectionArriveWhole()
+    {
+        Setup setup;
+        for (const std::string &path : paths()) {
+            for (const Ending ending : {Ending::UploadFirst, Ending::ReadUpload, Ending::HalfClose}) {
+                setup.target.setResponse(okLine, headers(path), body(path), ending);
+                const SiteFleet::Response response = setup.upload(path);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(path, 200U, response.status);
+                CPPUNIT_ASSERT(response.complete && response.isSigned);
+                CPPUNIT_ASSERT_EQUAL(body(path), response.body);
+            }
+        }
+    }
+
+    /// A response with a length is whole whatever becomes of the upload.
+    void responsesWithALengthArriveWhole()
+    {
+        Setup setup;
+        for (const Ending ending : {Ending::Reset, Ending::ReadUpload, Ending::UploadFirst}) {
+            setup.target.setResponse(okLine, headers("") + "Content-Length: 5\r\n", "whole", ending);
+            const SiteFleet::Response response = setup.upload("/once/x");
+            CPPUNIT_ASSERT(response.status == 200 && response.complete && response.isSigned);
+            CPPUNIT_ASSERT_EQUAL(std::string("whole"), response.body);
+        }
+    }
+
+    /// A target that rejects a long upload at once must not make its outcome look unknown.
+    void refusalsDuringTheUploadAreRefusals()
+    {
+        Setup setup(smallBuffer);
+        setup.target.setResponse("HTTP/1.1 503 Service Unavailable", "X-Guavalock-Not-Executed: 1\r\nContent-Length: 2\r\n", "{}",
+                                 Ending::Reset);
+        CPPUNIT_ASSERT_EQUAL(503U, setup.upload("/once/x").status);
+    }
+
     /// A target in trouble may send any three digits as status code. Clients must not get them as the status of a response.
     void impossibleStatusCodesAreNotPassedOn()
     {
