--- a/Source/Kernel/ResultCode.cpp
+++ b/Source/Kernel/ResultCode.cpp
@@ -43,7 +43,8 @@
 
     ResultCodeInfo{ResultCode::StageFailed, "StageFailed", 502, "A target answered that the stage failed."},
     ResultCodeInfo{ResultCode::DeadlineExceeded, "DeadlineExceeded", 504, "The deadline passed after part of the request had run."},
-    ResultCodeInfo{ResultCode::AnswerInvalid, "AnswerInvalid", 502, "A target's answer could not be read, was for another attempt or denies a run without proof."},
+    ResultCodeInfo{ResultCode::AnswerInvalid, "AnswerInvalid", 502,
+                   "A target's answer could not be read, was for another attempt or denies a run without proof."},
     ResultCodeInfo{ResultCode::StageUnavailable, "StageUnavailable", 503,
                    "A later stage found no usable target after earlier stages had run."},
     ResultCodeInfo{ResultCode::Cancelled, "Cancelled", 499, "The caller cancelled after part of the request had run."},
