Do not sort the queue of a stage for each call

Cause: each call sorted the whole queue and computed two keys for each comparison, then moved every piece twice. A long queue slows its owner down, which makes it longer.

Change: a call computes each key once, orders a heap of keys and indexes only as far as it takes pieces, and removes just these from the queue.

--- a/Source/Batching/BatchQueue.cpp
+++ b/Source/Batching/BatchQueue.cpp
@@ -3,6 +3,8 @@
 #include "Fleet/BatchParameters.h"
 
 #include <algorithm>
+#include <functional>
+#include <limits>
 #include <utility>
 
 namespace Guavalock
@@ -75,32 +77,62 @@
     return counts;
 }
 
+std::vector<BatchQueue::Candidate> BatchQueue::candidates(const BatchParameters &parameters, Clock::TimePoint now) const
+{
+    std::vector<Candidate> list;
+    list.reserve(m_entries.size());
+    for (std::size_t it = 0; it < m_entries.size(); ++it) {
+        list.emplace_back(sortKey(m_entries[it], parameters, now), it);
+    }
+    std::ranges::make_heap(list, std::greater());
+    return list;
+}
+
 std::vector<BatchQueue::Entry> BatchQueue::take(const BatchParameters &parameters, const IdleTarget &target, Clock::TimePoint now)
 {
-    std::ranges::stable_sort(m_entries, {}, [&](const Entry &it) { return sortKey(it, parameters, now); });
-    std::vector<Entry> taken;
-    std::vector<Entry> left;
     std::map<std::string, std::size_t> remoteCapacity; // Pieces that the targets of other data centres can take with their next calls.
     for (const auto &[dataCentre, targets] : target.usableTargetsByDataCentre) {
         remoteCapacity[dataCentre] = dataCentre == target.dataCentre ? 0 : targets * parameters.maxBatchSize;
     }
-    std::uint64_t bytes = 0;
-    for (Entry &it : m_entries) {
+    std::uint64_t smallest = std::numeric_limits<std::uint64_t>::max();
+    for (const Entry &it : m_entries) {
+        smallest = std::min(smallest, it.piece.resultBytes);
+    }
+    std::vector<Candidate> ordered = candidates(parameters, now);
+    std::vector<std::size_t> chosen;
+    std::uint64_t left = target.storageBytes;
+    while (!ordered.empty() && chosen.size() < parameters.maxBatchSize && smallest <= left) {
+        std::ranges::pop_heap(ordered, std::greater());
+        const std::size_t index = ordered.back().second;
+        ordered.pop_back();
+        const Entry &it = m_entries[index];
         const auto remote = remoteCapacity.find(it.piece.nearDataCentre);
         const bool waits = remote != remoteCapacity.end() && remote->second > 0 && mayWaitForLocality(it, parameters, now);
-        const bool fits = taken.size() < parameters.maxBatchSize && bytes + it.piece.resultBytes <= target.storageBytes;
         if (waits) {
             --remote->second;
+        } else if (it.piece.resultBytes <= left) {
+            left -= it.piece.resultBytes;
+            chosen.push_back(index);
         }
-        if (!fits || waits) {
-            left.push_back(std::move(it));
-            continue;
+    }
+    return remove(std::move(chosen));
+}
+
+std::vector<BatchQueue::Entry> BatchQueue::remove(std::vector<std::size_t> indexes)
+{
+    std::vector<Entry> removed;
+    removed.reserve(indexes.size());
+    for (const std::size_t it : indexes) {
+        removed.push_back(std::move(m_entries[it]));
+    }
+    std::ranges::sort(indexes, std::greater());
+    for (const std::size_t it : indexes) {
+        if (it + 1 < m_entries.size()) {
+            m_entries[it] = std::move(m_entries.back());
         }
-        bytes += it.piece.resultBytes;
-        taken.push_back(std::move(it));
+        m_entries.pop_back();
     }
-    m_entries = std::move(left);
-    return taken;
+    return removed;
 }
 
 std::vector<BatchQueue::Entry> BatchQueue::takeExpired(Clock::TimePoint now)
--- a/Source/Batching/BatchQueue.h
+++ b/Source/Batching/BatchQueue.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace Guavalock
@@ -75,15 +76,25 @@
     /// Smaller keys are processed first.
     using SortKey = std::tuple<bool, unsigned, bool, Clock::TimePoint, std::uint64_t>;
 
+    /// The key of a queued piece and its index in the queue.
+    using Candidate = std::pair<SortKey, std::size_t>;
+
     SortKey sortKey(const Entry &entry, const BatchParameters &parameters, Clock::TimePoint now) const;
 
+    /// Returns all queued pieces as a heap whose first element is to be processed first. A call takes few of a long queue, and entries are
+    /// large, so the queue itself is never sorted.
+    std::vector<Candidate> candidates(const BatchParameters &parameters, Clock::TimePoint now) const;
+
+    /// Removes and returns the entries with the given indexes, in their order.
+    std::vector<Entry> remove(std::vector<std::size_t> indexes);
+
     static bool willMiss(const Entry &entry, const BatchParameters &parameters, Clock::TimePoint now);
 
     /// Returns whether the piece belongs to the group that comes last.
     bool yields(const Entry &entry, const BatchParameters &parameters, Clock::TimePoint now) const;
 
     Order m_order;
-    std::vector<Entry> m_entries;
+    std::vector<Entry> m_entries; ///< In no particular order.
 };
 
 } // namespace Guavalock
--- a/Tests/Batching/BatchingTest.cpp
+++ b/Tests/Batching/BatchingTest.cpp
@@ -4,10 +4,14 @@
 #include "Batching/ResultStorage.h"
 #include "Batching/StagePlan.h"
 #include "Batching/StageTimes.h"
+#include "Decisions/RandomEngine.h"
 #include "Fleet/BatchParameters.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <ctime>
+
 namespace Guavalock
 {
 
@@ -21,6 +25,8 @@
     CPPUNIT_TEST(sideStagesStartInTimeForTheEndOfTheLongestChain);
     CPPUNIT_TEST(urgentPiecesThatCanStillMakeItGoFirst);
     CPPUNIT_TEST(latePiecesAreProcessedBeforeTheirInputsExpire);
+    CPPUNIT_TEST(callsTakeThePiecesInTheStatedOrder);
+    CPPUNIT_TEST(longQueuesDoNotOccupyTheirOwner);
     CPPUNIT_TEST(batchesStayWithinLimitAndRoom);
     CPPUNIT_TEST(piecesWaitForATargetNearTheirInputsWhileTheyCan);
     CPPUNIT_TEST(piecesThatNearTargetsCannotTakeSoonGoElsewhere);
@@ -211,6 +217,54 @@
         }
     }
 
+    /// A call must take the first pieces of the stated order, whatever was taken before.
+    void callsTakeThePiecesInTheStatedOrder()
+    {
+        RandomEngine random(7);
+        BatchQueue queue;
+        std::vector<std::pair<unsigned, int>> expected;
+        for (int it = 0; it < 200; ++it) {
+            const auto rank = static_cast<unsigned>(random() % 3);
+            // No two pieces of a rank have the same deadline, so the order is unambiguous.
+            const int wantedIn = 1'000 + it * 37 % 200;
+            queue.add(entry(std::to_string(wantedIn) + ' ', Milliseconds(wantedIn), rank));
+            expected.emplace_back(rank, wantedIn);
+        }
+        std::ranges::sort(expected);
+        std::string all;
+        while (!queue.empty()) {
+            const std::vector<BatchQueue::Entry> taken = queue.take(parameters(), offer(1'000), m_now);
+            CPPUNIT_ASSERT_EQUAL(parameters().maxBatchSize, taken.size());
+            all += requests(taken);
+        }
+        std::string wanted;
+        for (const auto &[rank, wantedIn] : expected) {
+            wanted += std::to_string(wantedIn) + ' ';
+        }
+        CPPUNIT_ASSERT_EQUAL(wanted, all);
+    }
+
+    /// An owner with half of a core sorted a long queue for each call and fell behind, so that targets were idle while pieces waited.
+    void longQueuesDoNotOccupyTheirOwner()
+    {
+        constexpr int queued = 5'000; // A second of a stage service before 840 targets.
+        constexpr int calls = 120; // The same.
+        constexpr double allowedSeconds = 0.1; // A fifth of the owner's share of a processor.
+        BatchQueue queue;
+        for (int it = 0; it < queued; ++it) {
+            queue.add(entry("request-" + std::to_string(it), Milliseconds(500 + it * 7'919 % 5'000), static_cast<unsigned>(it % 3)));
+        }
+        const std::clock_t begin = std::clock();
+        for (int it = 0; it < calls; ++it) {
+            for (BatchQueue::Entry &taken : queue.take(parameters(), offer(1'000), m_now)) {
+                queue.add(std::move(taken));
+            }
+        }
+        const double seconds = static_cast<double>(std::clock() - begin) / CLOCKS_PER_SEC;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(seconds) + " s", seconds < allowedSeconds);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(queued), queue.size());
+    }
+
     void batchesStayWithinLimitAndRoom()
     {
         BatchQueue queue;
