Look up a stage's targets once for many frames

Cause: the daemon that batches a stage visited every known target for each frame of pieces, and for each frame of results once for every service. The cost grows with the square of the fleet.

Change: the rate of calls and the backlogs are measured every 20 ms at most.

Also: a response that denies a run without proof counts as a failure of its target, and a connection lost during the upload is not logged as an invalid response.

BatchingTest, AdmissionTest, AdmissionLoadTest, StageRunTest, SiteTest, BadBytesTest, PlannedStopTest, EarlyResponsesTest, FailedRunsTest pass.

--- a/Source/Batching/BatchDispatcher.cpp
+++ b/Source/Batching/BatchDispatcher.cpp
@@ -37,6 +37,9 @@
 constexpr Milliseconds sweepInterval{50};
 constexpr Milliseconds refusalBackoff{120}; ///< Back-off after a target has refused a call: half the duration of a call.
 constexpr Milliseconds callTimeoutMargin{400}; ///< Added to twice the expected duration to give the time-out of a call.
+/// For so long, a rate of calls and a backlog are used again. Both visit every known target or piece, and are needed for every frame of
+/// pieces or results; they change little within a tenth of a call.
+constexpr Milliseconds measurementLifetime{20};
 constexpr unsigned maxAttempts = 4; ///< Maximum calls per piece. A request that needs more has already missed its objective.
 /// Requests with less slack than this are refused, because the duration of later stages varies by as much.
 constexpr Milliseconds refusalHeadroom{100};
@@ -100,6 +103,7 @@
 {
     Asio::post(m_strand, [this] {
         m_handingOver = true;
+        m_backlogs.clear();
         for (auto &[name, service] : m_services) {
             for (const BatchQueue::Entry &it : service.queue.takeAll()) {
                 queueResult(it.origin, {it.piece.number, PieceResult::Outcome::OwnerChanged, {}, {}});
@@ -141,7 +145,10 @@
     }
     deliverResults();
     for (const std::string &it : names) {
-        dispatch(it);
+        // The next sweep finds new targets.
+        if (m_services[it].workers.mayBeIdle(now)) {
+            dispatch(it);
+        }
     }
 }
 
@@ -159,7 +166,7 @@
     if (!found || service.queue.empty()) {
         return false;
     }
-    const QueueWait::Capacity capacity = this->capacity(piece.service, *found, now);
+    const QueueWait::Capacity capacity = this->capacity(piece.service, service, *found, now);
     const Clock::Duration expected = service.wait.behind(service.queue.countAhead(piece, *found, now), capacity) + capacity.callTime;
     const bool late = now + expected + refusalHeadroom > piece.softDeadline;
     if (late) {
@@ -168,24 +175,33 @@
     return late;
 }
 
-QueueWait::Capacity BatchDispatcher::capacity(const std::string &service, const BatchParameters &parameters, Clock::TimePoint now) const
+QueueWait::Capacity BatchDispatcher::capacity(const std::string &name, Service &service, const BatchParameters &parameters,
+                                              Clock::TimePoint now) const
 {
     const Clock::Duration full = expectedTime(parameters, parameters.maxBatchSize);
-    return {parameters.maxBatchSize, parameters.fixedCallTime, full, m_dependencies.fleet.callRate(service, full, now)};
+    if (now - service.rated >= measurementLifetime) {
+        service.callsPerSecond = m_dependencies.fleet.callRate(name, full, now);
+        service.rated = now;
+    }
+    return {parameters.maxBatchSize, parameters.fixedCallTime, full, service.callsPerSecond};
 }
 
-std::vector<ServiceBacklog> BatchDispatcher::backlogs(Clock::TimePoint now) const
+const std::vector<ServiceBacklog> &BatchDispatcher::backlogs(Clock::TimePoint now)
 {
-    std::vector<ServiceBacklog> backlogs;
-    for (const auto &[name, service] : m_services) {
+    if (now - m_backlogsMeasured < measurementLifetime) {
+        return m_backlogs;
+    }
+    m_backlogsMeasured = now;
+    m_backlogs.clear();
+    for (auto &[name, service] : m_services) {
         const std::optional<BatchParameters> parameters = batchParameters(name);
         const bool hasWork = !service.queue.empty() || service.workers.anyBusy();
         if (parameters && hasWork && !m_handingOver) {
-            backlogs.push_back(
-                service.wait.backlog(name, service.queue.countByRank(*parameters, now), capacity(name, *parameters, now), now));
+            const QueueWait::Capacity capacity = this->capacity(name, service, *parameters, now);
+            m_backlogs.push_back(service.wait.backlog(name, service.queue.countByRank(*parameters, now), capacity, now));
         }
     }
-    return backlogs;
+    return m_backlogs;
 }
 
 void BatchDispatcher::cancelPieces(const std::string &origin, const std::string &requestId)
--- a/Source/Batching/BatchDispatcher.h
+++ b/Source/Batching/BatchDispatcher.h
@@ -58,6 +58,8 @@
         BatchQueue queue;
         BatchWorkers workers;
         QueueWait wait;
+        double callsPerSecond = 0; ///< Of all usable targets together, as of `rated`.
+        Clock::TimePoint rated;
     };
 
     void addPieces(const std::string &origin, std::vector<Piece> pieces);
@@ -68,10 +70,10 @@
     /// Returns whether the result of a request's first piece would be too late for the request's objective, given the current queue.
     bool willMissObjective(const Piece &piece, Clock::TimePoint now);
 
-    QueueWait::Capacity capacity(const std::string &service, const BatchParameters &parameters, Clock::TimePoint now) const;
+    QueueWait::Capacity capacity(const std::string &name, Service &service, const BatchParameters &parameters, Clock::TimePoint now) const;
 
     /// Returns the backlogs of the services that this daemon batches and that have work. None while it hands its pieces over.
-    std::vector<ServiceBacklog> backlogs(Clock::TimePoint now) const;
+    const std::vector<ServiceBacklog> &backlogs(Clock::TimePoint now);
 
     ResultFreer::Callbacks freerCallbacks();
 
@@ -99,6 +101,8 @@
     std::map<std::string, Service> m_services;
     ResultFreer m_freer;
     ResultOutbox m_outbox;
+    std::vector<ServiceBacklog> m_backlogs; ///< As of `m_backlogsMeasured`.
+    Clock::TimePoint m_backlogsMeasured;
     boost::asio::steady_timer m_sweepTimer;
     bool m_handingOver = false;
     bool m_stopped = false;
--- a/Source/Batching/BatchWorkers.cpp
+++ b/Source/Batching/BatchWorkers.cpp
@@ -52,6 +52,12 @@
     return counts;
 }
 
+bool BatchWorkers::mayBeIdle(Clock::TimePoint now) const
+{
+    return m_workers.empty()
+        || std::ranges::any_of(m_workers, [now](const auto &it) { return !it.second->busy && it.second->backoffUntil <= now; });
+}
+
 bool BatchWorkers::anyBusy() const
 {
     return std::ranges::any_of(m_workers, [](const auto &it) { return it.second->busy; });
--- a/Source/Batching/BatchWorkers.h
+++ b/Source/Batching/BatchWorkers.h
@@ -28,6 +28,9 @@
     /// Returns the idle targets of the service, fastest first, and removes those that no longer exist.
     std::vector<std::shared_ptr<BatchWorker>> idle(FleetTable &fleet, const std::string &service, Clock::TimePoint now);
 
+    /// Returns whether idle() may find a target among those that it has found before. Needs no look at all known targets.
+    bool mayBeIdle(Clock::TimePoint now) const;
+
     std::map<std::string, std::size_t> countByDataCentre() const;
 
     /// Returns whether a call is in progress.
--- a/Source/Relay/RelayAttempt.cpp
+++ b/Source/Relay/RelayAttempt.cpp
@@ -185,7 +185,8 @@
         co_return makeFailureOutcome();
     }
     outcome.result = AttemptOutcome::Result::Responded;
-    m_report.outcome = head.status >= 500 ? AttemptReport::Outcome::Failed : AttemptReport::Outcome::Answered;
+    const bool failed = head.status >= 500 || head.deniesExecution;
+    m_report.outcome = failed ? AttemptReport::Outcome::Failed : AttemptReport::Outcome::Answered;
     outcome.head = std::move(head);
     co_return outcome;
 }
--- a/Source/Relay/UpstreamExchange.cpp
+++ b/Source/Relay/UpstreamExchange.cpp
@@ -135,7 +135,6 @@
         // The kernel reports a reset once. If the write of the request gets the error, the read sees a regular end of the connection.
         const bool written = co_await finishWrite();
         if (!written) {
-            m_invalidity = "the connection was lost before the target had received the request";
             co_return ReadResult::Failed;
         }
     }
