--- a/review/kit-3/standins.h
+++ b/review/kit-3/standins.h
@@ -509,11 +509,17 @@
         return m_server.address();
     }
 
-    /// While it is down, the store closes connections without a response.
-    void setDown(bool down)
+    /// Serves the same records at another address as well.
+    void startAlsoAt(const Address &address)
     {
-        m_down = down;
-        m_changed.notify_all();
+        m_second = std::make_unique<Server>(address, [this](Stream &stream, const Message &request) { return handle(stream, request); });
+        m_second->start();
+    }
+
+    /// Ends the first address.
+    void stopFirst()
+    {
+        m_server.stop();
     }
 
     void put(const std::string &topic, const std::string &key, const std::string &value)
@@ -556,9 +562,6 @@
 
     bool handle(Stream &stream, const Message &request)
     {
-        if (m_down) {
-            return false;
-        }
         sleepFor(4);
         const std::string target = request.target();
         const std::string call = target.substr(0, target.find('?'));
@@ -578,10 +581,7 @@
         if (call == "/log-read") {
             const std::size_t from = std::strtoul(parameter(target, "from").c_str(), nullptr, 10);
             const int wait = std::atoi(parameter(target, "wait_ms").c_str());
-            m_changed.wait_for(lock, Milliseconds(wait), [&] { return m_down || m_topics[topic].records.size() > from; });
-            if (m_down) {
-                return false;
-            }
+            m_changed.wait_for(lock, Milliseconds(wait), [&] { return m_topics[topic].records.size() > from; });
             const Topic &it = m_topics[topic];
             std::string body = bigEndian(it.records.size(), 8) + bigEndian(0, 8);
             for (std::size_t n = from; n < it.records.size(); ++n) {
@@ -614,9 +614,9 @@
 
     std::mutex m_mutex;
     std::condition_variable m_changed;
-    std::atomic<bool> m_down{false};
     std::map<std::string, Topic> m_topics;
     Server m_server;
+    std::unique_ptr<Server> m_second;
 };
 
 /// What an engine tells of itself in the store, written at each heartbeat and at each change.
@@ -740,6 +740,22 @@
 
     explicit Daemon(Plan plan)
         : m_plan(std::move(plan))
+    {
+        writeSettings(m_plan.store);
+        start();
+        m_thread = std::thread([this] { restartAsNeeded(); });
+    }
+
+    ~Daemon()
+    {
+        m_ended = true;
+        m_thread.join();
+        ::kill(m_pid, SIGKILL);
+        ::waitpid(m_pid, nullptr, 0);
+    }
+
+    /// Replaces the settings file, as the platform does when the settings change.
+    void writeSettings(const Address &store) const
     {
         std::string seeds;
         for (const std::string &it : m_plan.seedIps) {
@@ -748,7 +764,7 @@
         const auto at = [&](std::uint16_t port) {
             return '"' + Address{m_plan.ip, port}.text() + '"';
         };
-        std::ofstream(settingsPath())
+        std::ofstream(settingsPath() + ".new")
             << "{\"node_name\":\"" << m_plan.name << "\",\"role\":\"daemon\",\"instance_class\":\"edge\",\"serves\":[\"edge\",\"control_plane\"],"
             << "\"ip\":\"" << m_plan.ip << "\",\"zone\":\"" << m_plan.zone << "\",\"region\":\"western-lk\",\"listen\":{\"frontend\":"
             << at(m_plan.frontend) << ",\"readiness\":" << at(m_plan.readiness) << ",\"control_plane\":" << at(m_plan.controlPlane)
@@ -757,18 +773,9 @@
             << "\"disk_mb\":0},\"discovery\":\"platform\",\"entry\":\"vip\",\"heartbeat_ms\":1200,\"bounds\":{\"contact_ms\":3000,"
             << "\"drain_ms\":2000,\"grace_s\":8,\"config_apply_ms\":2000,\"retry_budget_ratio\":0.2,\"budget_window_s\":10,"
             << "\"retry_allowance\":" << m_plan.allowance << ",\"cold_overage\":1.5,\"cold_tolerance\":5,\"evacuation_ms\":5000,"
-            << "\"recovery_s\":12},\"platform\":{\"address\":\"" << m_plan.store.text()
+            << "\"recovery_s\":12},\"platform\":{\"address\":\"" << store.text()
             << "\",\"form\":\"log\",\"writes_per_s\":400,\"reads_per_s\":2000,\"keep_s\":300}}\n";
-        start();
-        m_thread = std::thread([this] { restartAsNeeded(); });
-    }
-
-    ~Daemon()
-    {
-        m_ended = true;
-        m_thread.join();
-        ::kill(m_pid, SIGKILL);
-        ::waitpid(m_pid, nullptr, 0);
+        std::filesystem::rename(settingsPath() + ".new", settingsPath());
     }
 
     void signal(int number)
@@ -981,74 +988,4 @@
     return false;
 }
 
-/// Returns the resident memory of the processes that this process started, by process id.
-inline std::map<pid_t, std::size_t> childMemory()
-{
-    std::map<pid_t, std::size_t> found;
-    for (const auto &entry : std::filesystem::directory_iterator("/proc/self/task")) {
-        std::ifstream children(entry.path() / "children");
-        pid_t pid = 0;
-        while (children >> pid) {
-            std::ifstream status("/proc/" + std::to_string(pid) + "/status");
-            std::string line;
-            while (std::getline(status, line)) {
-                if (line.starts_with("VmRSS:")) {
-                    found[pid] = std::strtoul(line.c_str() + 6, nullptr, 10) * 1024;
-                }
-            }
-        }
-    }
-    return found;
-}
-
-/// Kills daemons that exceed their memory, as the platform does.
-class MemoryLimit
-{
-public:
-    MemoryLimit(std::size_t megabytes, Record &record)
-        : m_thread([this, megabytes, &record] { watch(megabytes, record); })
-    {
-    }
-
-    ~MemoryLimit()
-    {
-        m_ended = true;
-        m_thread.join();
-    }
-
-    std::size_t peakMegabytes() const
-    {
-        return m_peak / bytesPerMegabyte;
-    }
-
-    int kills() const
-    {
-        return m_kills;
-    }
-
-private:
-    static constexpr std::size_t bytesPerMegabyte = 1'000'000;
-
-    void watch(std::size_t megabytes, Record &record)
-    {
-        while (!m_ended) {
-            for (const auto &[pid, bytes] : childMemory()) {
-                m_peak = std::max<std::size_t>(m_peak, bytes);
-                if (bytes > megabytes * bytesPerMegabyte) {
-                    record.line("process " + std::to_string(pid) + " uses " + std::to_string(bytes / bytesPerMegabyte) + " MB and is killed");
-                    ::kill(pid, SIGKILL);
-                    ++m_kills;
-                    sleepFor(100);
-                }
-            }
-            sleepFor(20);
-        }
-    }
-
-    std::atomic<bool> m_ended{false};
-    std::atomic<std::size_t> m_peak{0};
-    std::atomic<int> m_kills{0};
-    std::thread m_thread;
-};
-
 } // namespace Review
