--- a/review/kit-3/added_route.cpp
+++ b/review/kit-3/added_route.cpp
@@ -57,8 +57,8 @@
     for (int it = 1; it <= 4; ++it) {
         const std::string id = "i-0000000" + std::to_string(it);
         const Address address = freeAddress(loopbackIp(100 + it));
-        engines.push_back(std::make_unique<Server>(
-            address, [id](Stream &stream, const Message &request) { return serveEngine(id, stream, request); }));
+        engines.push_back(
+            std::make_unique<Server>(address, [id](Stream &stream, const Message &request) { return serveEngine(id, stream, request); }));
         engines.back()->start();
         entries.push_back(std::make_unique<EngineEntry>(store, id, "order-desk", address, "peliyagoda", 6));
         entries.back()->begin(0);
@@ -93,7 +93,8 @@
         sleepFor(50);
     }
     record.line("served " + std::to_string(served) + " of " + std::to_string(requestCount) + " on the first route and "
-                + std::to_string(servedAdded) + " of " + std::to_string(requestCount) + " on the added one; " + std::to_string(denied) + " answered 404");
+                + std::to_string(servedAdded) + " of " + std::to_string(requestCount) + " on the added one; " + std::to_string(denied)
+                + " answered 404");
     std::printf("first route %d of %d, added route %d of %d, 404: %d\n", served, requestCount, servedAdded, requestCount, denied);
     return 4 * servedAdded < served ? 1 : 0;
 }
--- a/review/kit-3/resumed_at_end.cpp
+++ b/review/kit-3/resumed_at_end.cpp
@@ -120,8 +120,7 @@
     bool takeReset()
     {
         int left = m_resets;
-        while (left > 0 && !m_resets.compare_exchange_weak(left, left - 1)) {
-        }
+        while (left > 0 && !m_resets.compare_exchange_weak(left, left - 1)) { }
         return left > 0;
     }
 
@@ -226,20 +225,21 @@
     const TemporaryFolder folder;
     Store store(freeAddress(loopbackIp(2)));
     store.start();
-    store.put("keyed.op", "config",
-              "{\"version\":7,\"routes\":[{\"name\":\"r\",\"hostname\":\"spec.example\",\"path_prefix\":\"/spec/\",\"type\":\"streaming\","
-              "\"timeout_ms\":6000,\"target_latency_ms\":1800,\"priority\":1,\"service\":\"band-model\",\"max_attempts\":2,\"public\":true,"
-              "\"session_affinity\":true,\"resumable\":true,\"gap_target_ms\":200}],\"services\":[{\"name\":\"band-model\","
-              "\"health_path\":\"/healthz\",\"max_connections\":360,\"protocol\":\"h1\",\"tls\":false,\"cold_start_s\":3.0,\"cold_per_s\":11.0,"
-              "\"engine_id\":{\"capacity\":64,\"kv_capacity\":367584}}],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
-              "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}");
+    store.put(
+        "keyed.op", "config",
+        "{\"version\":7,\"routes\":[{\"name\":\"r\",\"hostname\":\"spec.example\",\"path_prefix\":\"/spec/\",\"type\":\"streaming\","
+        "\"timeout_ms\":6000,\"target_latency_ms\":1800,\"priority\":1,\"service\":\"band-model\",\"max_attempts\":2,\"public\":true,"
+        "\"session_affinity\":true,\"resumable\":true,\"gap_target_ms\":200}],\"services\":[{\"name\":\"band-model\","
+        "\"health_path\":\"/healthz\",\"max_connections\":360,\"protocol\":\"h1\",\"tls\":false,\"cold_start_s\":3.0,\"cold_per_s\":11.0,"
+        "\"engine_id\":{\"capacity\":64,\"kv_capacity\":367584}}],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
+        "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}");
     std::vector<std::unique_ptr<EngineEntry>> entries;
     std::vector<std::unique_ptr<Server>> engines;
     for (int it = 1; it <= 4; ++it) {
         const std::string id = "i-0000000" + std::to_string(it);
         const Address address = freeAddress(loopbackIp(100 + it));
-        engines.push_back(std::make_unique<Server>(
-            address, [id](Stream &stream, const Message &request) { return serveEngine(id, stream, request); }));
+        engines.push_back(
+            std::make_unique<Server>(address, [id](Stream &stream, const Message &request) { return serveEngine(id, stream, request); }));
         engines.back()->start();
         entries.push_back(std::make_unique<EngineEntry>(store, id, "band-model", address, "peliyagoda", 64));
         entries.back()->begin(0);
@@ -276,8 +276,8 @@
         sleepFor(500);
     }
     record.line("complete " + std::to_string(counts.complete) + ", broken off " + std::to_string(counts.broken) + ", resumed "
-                + std::to_string(counts.resumed) + ", bytes that are no answer in place of one " + std::to_string(counts.noAnswer) + ", other "
-                + std::to_string(counts.other));
+                + std::to_string(counts.resumed) + ", bytes that are no answer in place of one " + std::to_string(counts.noAnswer)
+                + ", other " + std::to_string(counts.other));
     std::printf("complete %d, broken off %d, resumed %d, no answer in the protocol %d, other %d\n", counts.complete.load(),
                 counts.broken.load(), counts.resumed.load(), counts.noAnswer.load(), counts.other.load());
     return counts.noAnswer > 0 ? 1 : 0;
--- a/review/kit-3/standins.h
+++ b/review/kit-3/standins.h
@@ -573,8 +573,8 @@
                 entries += std::string(entries.empty() ? "" : ",") + "{\"key\":\"" + key + "\",\"data\":\"" + base64(value.second)
                     + "\",\"offset\":" + std::to_string(value.first) + '}';
             }
-            const std::string body
-                = "{\"entries\":[" + entries + "],\"has_more\":false,\"end_offset\":" + std::to_string(m_topics[topic].records.size()) + '}';
+            const std::string body = "{\"entries\":[" + entries
+                + "],\"has_more\":false,\"end_offset\":" + std::to_string(m_topics[topic].records.size()) + '}';
             lock.unlock();
             return stream.send(response(200, "Content-Type: application/json\r\n", body));
         }
@@ -765,10 +765,12 @@
             return '"' + Address{m_plan.ip, port}.text() + '"';
         };
         std::ofstream(settingsPath() + ".new")
-            << "{\"node_name\":\"" << m_plan.name << "\",\"role\":\"daemon\",\"instance_class\":\"edge\",\"serves\":[\"edge\",\"control_plane\"],"
-            << "\"ip\":\"" << m_plan.ip << "\",\"zone\":\"" << m_plan.zone << "\",\"region\":\"western-lk\",\"listen\":{\"frontend\":"
-            << at(m_plan.frontend) << ",\"readiness\":" << at(m_plan.readiness) << ",\"control_plane\":" << at(m_plan.controlPlane)
-            << "},\"internal_ports\":[" << m_plan.peers << ',' << m_plan.peers + 15 << "],\"seeds\":[" << seeds
+            << "{\"node_name\":\"" << m_plan.name
+            << "\",\"role\":\"daemon\",\"instance_class\":\"edge\",\"serves\":[\"edge\",\"control_plane\"],"
+            << "\"ip\":\"" << m_plan.ip << "\",\"zone\":\"" << m_plan.zone
+            << "\",\"region\":\"western-lk\",\"listen\":{\"frontend\":" << at(m_plan.frontend) << ",\"readiness\":" << at(m_plan.readiness)
+            << ",\"control_plane\":" << at(m_plan.controlPlane) << "},\"internal_ports\":[" << m_plan.peers << ',' << m_plan.peers + 15
+            << "],\"seeds\":[" << seeds
             << "],\"bootstrap\":true,\"limits\":{\"cpu_share\":0.25,\"cores\":1,\"memory_mb\":260,\"max_fds\":4100,\"link_mbps\":1000.0,"
             << "\"disk_mb\":0},\"discovery\":\"platform\",\"entry\":\"vip\",\"heartbeat_ms\":1200,\"bounds\":{\"contact_ms\":3000,"
             << "\"drain_ms\":2000,\"grace_s\":8,\"config_apply_ms\":2000,\"retry_budget_ratio\":0.2,\"budget_window_s\":10,"
--- a/review/kit-3/store_moves.cpp
+++ b/review/kit-3/store_moves.cpp
@@ -16,12 +16,16 @@
 std::string configuration(int version, const std::string &keys, const std::string &service)
 {
     return "{\"version\":" + std::to_string(version)
-        + ",\"routes\":[{\"name\":\"r\",\"hostname\":\"desk.example\",\"path_prefix\":\"/book/\",\"type\":\"non_idempotent\",\"timeout_ms\":1500,"
-          "\"target_latency_ms\":150,\"priority\":2,\"service\":\"" + service + "\",\"max_attempts\":1,\"public\":false}],"
+        + ",\"routes\":[{\"name\":\"r\",\"hostname\":\"desk.example\",\"path_prefix\":\"/book/"
+          "\",\"type\":\"non_idempotent\",\"timeout_ms\":1500,"
+          "\"target_latency_ms\":150,\"priority\":2,\"service\":\""
+        + service
+        + "\",\"max_attempts\":1,\"public\":false}],"
           "\"services\":[{\"name\":\"order-desk\",\"health_path\":\"/healthz\",\"max_connections\":96,\"protocol\":\"h1\",\"tls\":false,"
           "\"cold_start_s\":0.0,\"cold_per_s\":0.0},{\"name\":\"new-desk\",\"health_path\":\"/healthz\",\"max_connections\":96,"
           "\"protocol\":\"h1\",\"tls\":false,\"cold_start_s\":0.0,\"cold_per_s\":0.0}],\"limits\":{\"max_header_bytes\":16384,"
-          "\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},\"tenants\":[{\"name\":\"bozi300\",\"api_keys\":["
+          "\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},\"tenants\":[{\"name\":\"bozi300\",\"api_"
+          "keys\":["
         + keys + "]}]}";
 }
 
@@ -128,8 +132,8 @@
         }
         sleepFor(300);
     }
-    record.line(std::to_string(late) + " of " + std::to_string(asked) + " bookings with the withdrawn key ran; " + std::to_string(old) + " of "
-                + std::to_string(asked) + " with the kept key were run by the former service");
+    record.line(std::to_string(late) + " of " + std::to_string(asked) + " bookings with the withdrawn key ran; " + std::to_string(old)
+                + " of " + std::to_string(asked) + " with the kept key were run by the former service");
     std::printf("withdrawn key: %d of %d ran; former service: %d of %d\n", late, asked, old, asked);
     return late > 0 || old > 0 ? 1 : 0;
 }
