review/kit-3: end connections before the objects that they use

Cause: in one of five runs of review/13 the script's program ended with a segmentation fault and the run with 2. By reading, threads of connections went on while the stand-ins were destroyed; no trace was taken.

Changed: a server and the proxy wait for their connections at their end.

--- a/review/kit-3/resumed_at_end.cpp
+++ b/review/kit-3/resumed_at_end.cpp
@@ -67,6 +67,9 @@
         ::shutdown(m_listener, SHUT_RDWR);
         m_thread.join();
         ::close(m_listener);
+        while (m_connections > 0) {
+            sleepFor(5);
+        }
     }
 
     /// Resets the next connections on which the last event of a stream has been passed on.
@@ -81,7 +84,11 @@
         while (!m_ended) {
             const int fd = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
             if (fd >= 0) {
-                std::thread([this, fd] { serve(fd); }).detach();
+                ++m_connections;
+                std::thread([this, fd] {
+                    serve(fd);
+                    --m_connections;
+                }).detach();
             }
         }
     }
@@ -94,7 +101,7 @@
             return;
         }
         const std::string mark = "id: " + std::to_string(lastEvent) + "\n";
-        while (true) {
+        while (!m_ended) {
             pollfd pollers[2] = {{client.fd(), POLLIN, 0}, {daemon->fd(), POLLIN, 0}};
             ::poll(pollers, 2, 1'000);
             for (int it = 0; it < 2; ++it) {
@@ -127,6 +134,7 @@
     const Address m_daemon;
     int m_listener = -1;
     std::atomic<int> m_resets{0};
+    std::atomic<int> m_connections{0};
     std::atomic<bool> m_ended{false};
     std::thread m_thread;
 };
--- a/review/kit-3/standins.h
+++ b/review/kit-3/standins.h
@@ -400,17 +400,21 @@
         ::shutdown(m_listener, SHUT_RDWR);
         m_thread.join();
         ::close(m_listener);
-        const std::scoped_lock lock(m_state->mutex);
+        std::unique_lock lock(m_state->mutex);
         for (Stream *it : m_state->streams) {
             it->resetOnClose();
             ::shutdown(it->fd(), SHUT_RDWR);
         }
+        // Handlers use objects that may be destroyed after this.
+        m_state->ended.wait(lock, [this] { return m_state->connections == 0; });
     }
 
 private:
     struct State {
         std::mutex mutex;
+        std::condition_variable ended;
         std::set<Stream *> streams;
+        int connections = 0;
     };
 
     void accept()
@@ -424,20 +428,29 @@
                 sleepFor(5);
                 continue;
             }
+            {
+                const std::scoped_lock lock(m_state->mutex);
+                ++m_state->connections;
+            }
             std::thread([state = m_state, handler = m_handler, fd] {
-                Stream stream(fd);
                 {
-                    const std::scoped_lock lock(state->mutex);
-                    state->streams.insert(&stream);
-                }
-                while (true) {
-                    Message request;
-                    if (!stream.readHead(request) || !stream.readBody(request) || !handler(stream, request)) {
-                        break;
+                    Stream stream(fd);
+                    {
+                        const std::scoped_lock lock(state->mutex);
+                        state->streams.insert(&stream);
+                    }
+                    while (true) {
+                        Message request;
+                        if (!stream.readHead(request) || !stream.readBody(request) || !handler(stream, request)) {
+                            break;
+                        }
                     }
+                    const std::scoped_lock lock(state->mutex);
+                    state->streams.erase(&stream);
                 }
                 const std::scoped_lock lock(state->mutex);
-                state->streams.erase(&stream);
+                --state->connections;
+                state->ended.notify_all();
             }).detach();
         }
     }
