Compare the host names of routes and requests regardless of case

Callers: a route whose host has capitals was never served.

Cause: the codec put the client's host into lower case, the decoder of the configuration kept the operator's as it was, and the catalogue compared bytes. Ruled out: a version that is not applied, and a fault of added routes only; a daemon that starts with the route does not serve it either.

Change: HostName keeps a name as written and compares it regardless of case (RFC 9110, section 4.2.3). Routes and requests hold it and the catalogue uses it as its key, so no path can compare bytes. Routes whose hosts differ only in case belong to one host. The name goes to targets as the client wrote it; its port is still left out.

The suite's, the soak's and the fuzz corpus's routes spell their host in another case than their clients.

--- a/Source/Fleet/Catalogue.cpp
+++ b/Source/Fleet/Catalogue.cpp
@@ -81,7 +81,7 @@
     return m_content.limits;
 }
 
-const RouteRecord *Catalogue::route(std::string_view host, std::string_view path) const
+const RouteRecord *Catalogue::route(const HostName &host, std::string_view path) const
 {
     const auto routes = m_routesByHost.find(host);
     if (routes == m_routesByHost.end()) {
--- a/Source/Fleet/Catalogue.h
+++ b/Source/Fleet/Catalogue.h
@@ -38,7 +38,7 @@
     const CallerLimits &limits() const;
 
     /// Returns the route of the host with the longest prefix that matches the path, or null.
-    const RouteRecord *route(std::string_view host, std::string_view path) const;
+    const RouteRecord *route(const HostName &host, std::string_view path) const;
 
     const ServiceRecord *service(const std::string &name) const;
 
@@ -60,7 +60,7 @@
 
 private:
     Content m_content;
-    std::map<std::string, std::vector<const RouteRecord *>, std::less<>> m_routesByHost; ///< Sorted by descending prefix length.
+    std::map<HostName, std::vector<const RouteRecord *>> m_routesByHost; ///< Sorted by descending prefix length.
     std::map<std::string, const ServiceRecord *> m_servicesByName;
     std::vector<std::string> m_stageServices;
     std::vector<std::string> m_modelServices;
--- a/Source/Fleet/RouteRecord.h
+++ b/Source/Fleet/RouteRecord.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Fleet/ExecutionSemantics.h"
+#include "Fleet/HostName.h"
 #include "Fleet/StageNode.h"
 
 #include <chrono>
@@ -14,7 +15,7 @@
 /// Routing and execution rules for the requests of one host and path prefix.
 struct RouteRecord {
     std::string name;
-    std::string host;
+    HostName host;
     std::string prefix; ///< Begins and ends with a slash.
     ExecutionSemantics semantics = ExecutionSemantics::AtMostOnce;
     bool resumable = false;
--- a/Source/Relay/OpaqueRequest.h
+++ b/Source/Relay/OpaqueRequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Fleet/HostName.h"
 #include "Kernel/Clock.h"
 #include "Relay/HttpFields.h"
 
@@ -17,7 +18,7 @@
     std::string id; ///< Unique for each attempt of the client.
     std::string method;
     std::string requestTarget; ///< HTTP request target: path and query.
-    std::string host;
+    HostName host;
     HttpFields headers; ///< End-to-end headers, forwarded to the target.
     std::string body;
     std::string apiKey; ///< Identifies the organisation; empty if the header is absent.
--- a/Tests/Fleet/FleetTest.cpp
+++ b/Tests/Fleet/FleetTest.cpp
@@ -9,6 +9,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace Guavalock
 {
@@ -17,6 +18,7 @@
 {
     CPPUNIT_TEST_SUITE(FleetTest);
     CPPUNIT_TEST(longestPrefixOfTheHostWins);
+    CPPUNIT_TEST(routesOfOneHostMaySpellItDifferently);
     CPPUNIT_TEST(olderRecordsNeverReplaceNewerOnes);
     CPPUNIT_TEST(keysMissingFromACompleteUpdateAreDeleted);
     CPPUNIT_TEST(recordsOfAPeerKeepTheirAge);
@@ -109,14 +111,35 @@
         Catalogue::Content content;
         for (const std::string prefix : {"/", "/a/", "/a/b/"}) {
             RouteRecord route;
-            route.host = "h";
+            route.host = HostName("h");
             route.prefix = prefix;
             content.routes.push_back(route);
         }
         const Catalogue catalogue(content);
-        CPPUNIT_ASSERT_EQUAL(std::string("/a/b/"), catalogue.route("h", "/a/b/c")->prefix);
-        CPPUNIT_ASSERT_EQUAL(std::string("/a/"), catalogue.route("h", "/a/bc")->prefix);
-        CPPUNIT_ASSERT(catalogue.route("other", "/a/") == nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::string("/a/b/"), catalogue.route(HostName("h"), "/a/b/c")->prefix);
+        CPPUNIT_ASSERT_EQUAL(std::string("/a/"), catalogue.route(HostName("h"), "/a/bc")->prefix);
+        CPPUNIT_ASSERT(catalogue.route(HostName("other"), "/a/") == nullptr);
+    }
+
+    /// Guards against routes that no request reaches because their host has capitals, and against a host split by its spellings.
+    void routesOfOneHostMaySpellItDifferently()
+    {
+        Catalogue::Content content;
+        for (const auto &[name, host, prefix] : {std::tuple("first", "Shop.Example", "/a/"), std::tuple("deep", "shop.example", "/a/b/"),
+                                                 std::tuple("second", "SHOP.example", "/a/")}) {
+            RouteRecord route;
+            route.name = name;
+            route.host = HostName(host);
+            route.prefix = prefix;
+            content.routes.push_back(route);
+        }
+        const Catalogue catalogue(content);
+        for (const std::string host : {"Shop.Example", "shop.example", "SHOP.EXAMPLE", "sHoP.eXaMpLe"}) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(host, std::string("deep"), catalogue.route(HostName(host), "/a/b/c")->name);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(host, std::string("first"), catalogue.route(HostName(host), "/a/c")->name);
+            CPPUNIT_ASSERT(catalogue.route(HostName(host), "/A/c") == nullptr);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("Shop.Example"), catalogue.route(HostName("shop.example"), "/a/c")->host.text());
     }
 
     void olderRecordsNeverReplaceNewerOnes()
--- a/Tests/Relay/RelayCodecTest.cpp
+++ b/Tests/Relay/RelayCodecTest.cpp
@@ -83,7 +83,7 @@
         head.set("Accept", "text/event-stream");
         const OpaqueRequest it = request(head);
         CPPUNIT_ASSERT_EQUAL(std::string("secret"), it.apiKey);
-        CPPUNIT_ASSERT_EQUAL(std::string("shop.example"), it.host);
+        CPPUNIT_ASSERT(it.host == HostName("shop.example"));
         CPPUNIT_ASSERT(it.deadline == std::chrono::milliseconds(900));
         UpstreamParameters parameters;
         parameters.targetId = "t1";
@@ -347,7 +347,7 @@
         const auto change = codec.operatorChange("config", text, reason);
         CPPUNIT_ASSERT_MESSAGE(reason.text, change);
         const auto &catalogue = *std::get<std::shared_ptr<const Catalogue>>(*change);
-        const RouteRecord &route = *catalogue.route("h", "/p/x");
+        const RouteRecord &route = *catalogue.route(HostName("h"), "/p/x");
         CPPUNIT_ASSERT(route.retryable() && route.semantics == ExecutionSemantics::Stream);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), route.services.size());
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), route.stages.at(1).dependencies.at(0));
--- a/Tests/Site/FuzzTest.cpp
+++ b/Tests/Site/FuzzTest.cpp
@@ -46,7 +46,7 @@
     static const std::string &configuration()
     {
         static const std::string text
-            = R"({"version":7,"routes":[{"name":"r","hostname":"h","path_prefix":"/a/","type":"streaming","timeout_ms":8000,"target_latency_ms":2000,"priority":1,"backends":[{"service":"m","weight":90},{"service":"n","weight":10}],"max_attempts":1,"phases":[{"service":"s","after":[],"byte_count":1500000},{"service":"s","after":[0],"byte_count":8000}],"session_affinity":true,"gap_target_ms":300}],"services":[{"name":"m","max_connections":420,"cold_start_s":3.0,"cold_per_s":9.6},{"name":"s","fragments":{"capacity":1,"queue":2,"batch":12,"call_ms":200.0,"item_ms":14.0,"headroom_mb":27.0,"handle_s":4.0}}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"t","api_keys":["k"],"priority":1}]})";
+            = R"({"version":7,"routes":[{"name":"r","hostname":"H","path_prefix":"/a/","type":"streaming","timeout_ms":8000,"target_latency_ms":2000,"priority":1,"backends":[{"service":"m","weight":90},{"service":"n","weight":10}],"max_attempts":1,"phases":[{"service":"s","after":[],"byte_count":1500000},{"service":"s","after":[0],"byte_count":8000}],"session_affinity":true,"gap_target_ms":300}],"services":[{"name":"m","max_connections":420,"cold_start_s":3.0,"cold_per_s":9.6},{"name":"s","fragments":{"capacity":1,"queue":2,"batch":12,"call_ms":200.0,"item_ms":14.0,"headroom_mb":27.0,"handle_s":4.0}}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"t","api_keys":["k"],"priority":1}]})";
         return text;
     }
 
@@ -94,7 +94,7 @@
         const auto change = m_site->recordCodec().operatorChange("config", text, reason);
         const auto *catalogue = change ? std::get_if<std::shared_ptr<const Catalogue>>(&*change) : nullptr;
         if (catalogue != nullptr) {
-            (*catalogue)->route("h", "/a/b");
+            (*catalogue)->route(HostName("h"), "/a/b");
             const ServiceRecord *service = (*catalogue)->service("s");
             CPPUNIT_ASSERT(service == nullptr || !service->batch || service->batch->maxBatchSize > 0);
         } else {
@@ -186,7 +186,7 @@
         const auto change = m_site->recordCodec().operatorChange("config", text, reason);
         CPPUNIT_ASSERT(change);
         const auto &catalogue = std::get<std::shared_ptr<const Catalogue>>(*change);
-        CPPUNIT_ASSERT_EQUAL(std::string("m"), catalogue->serviceFor(*catalogue->route("h", "/a/b"), "r1"));
+        CPPUNIT_ASSERT_EQUAL(std::string("m"), catalogue->serviceFor(*catalogue->route(HostName("h"), "/a/b"), "r1"));
     }
 
     /// Regression inputs that have caused failures before.
--- /dev/null
+++ b/Tests/Site/RouteHostsTest.cpp
@@ -0,0 +1,89 @@
+#include "SiteFleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Guavalock
+{
+
+/// Tests which routes serve requests by the name of their host.
+class RouteHostsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RouteHostsTest);
+    CPPUNIT_TEST(addedRoutesWithCapitalsInTheirHostAreServed);
+    CPPUNIT_TEST(hostsThatDifferInCaseShareTheirRoutes);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::size_t daemonCount = 2;
+
+    static std::string route(const std::string &name, const std::string &host, const std::string &prefix,
+                             const std::string &service = "plain")
+    {
+        return R"({"name":")" + name + R"(","hostname":")" + host + R"(","path_prefix":")" + prefix
+            + R"(","type":"idempotent","timeout_ms":2000,"target_latency_ms":300,"service":")" + service + R"(","max_attempts":2})";
+    }
+
+    static SiteFleet::Response send(const SiteFleet &fleet, std::size_t daemon, const std::string &host, const std::string &path)
+    {
+        static int number = 0;
+        SiteFleet::Request request = SiteFleet::makeRequest(path, "host-" + std::to_string(++number));
+        request.headers.emplace_back("Host", host);
+        return fleet.send(daemon, request);
+    }
+
+    static void checkStatus(const SiteFleet &fleet, std::size_t daemon, const std::string &host, const std::string &path, unsigned status)
+    {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("Host: " + host + ", " + path, status, send(fleet, daemon, host, path).status);
+    }
+
+    /// Waits until all daemons have a configuration with the route of "marker.example".
+    static void awaitConfiguration(const SiteFleet &fleet)
+    {
+        for (std::size_t it = 0; it < daemonCount; ++it) {
+            CPPUNIT_ASSERT(SiteFleet::waitFor([&] { return send(fleet, it, "marker.example", "/x").status == 200; }));
+        }
+    }
+
+public:
+    /// review/13: a route whose host had capitals was never served, neither when it was added nor after a restart of the daemon.
+    void addedRoutesWithCapitalsInTheirHostAreServed()
+    {
+        SiteFleet fleet(daemonCount);
+        fleet.start();
+        fleet.configureRoutes(2, route("added", "Peliyagoda.Example", "/book/") + "," + route("marker", "marker.example", "/"));
+        awaitConfiguration(fleet);
+        const auto check = [&](std::size_t daemon) {
+            for (const std::string host : {"Peliyagoda.Example", "peliyagoda.example", "PELIYAGODA.EXAMPLE", "Peliyagoda.example:8080"}) {
+                checkStatus(fleet, daemon, host, "/book/coil", 200);
+                checkStatus(fleet, daemon, host, "/Book/coil", 404);
+            }
+        };
+        check(0);
+        check(1);
+        fleet.killDaemon(1);
+        fleet.startDaemon(1);
+        CPPUNIT_ASSERT(SiteFleet::waitFor([&] { return fleet.isReady(1); }));
+        check(1);
+    }
+
+    /// Guards against a longest prefix that is looked for among the routes of one spelling only, and against a configuration that is
+    /// refused for two spellings. The service of a route that must not be selected does not exist.
+    void hostsThatDifferInCaseShareTheirRoutes()
+    {
+        SiteFleet fleet(daemonCount);
+        fleet.start();
+        fleet.configureRoutes(2,
+                              route("first", "Desk.example", "/book/") + "," + route("deep", "desk.EXAMPLE", "/book/deep/", "none") + ","
+                                  + route("second", "desk.example", "/book/", "none") + "," + route("marker", "marker.example", "/"));
+        awaitConfiguration(fleet);
+        for (std::size_t it = 0; it < daemonCount; ++it) {
+            for (const std::string host : {"Desk.example", "desk.example", "desk.EXAMPLE", "DESK.EXAMPLE"}) {
+                checkStatus(fleet, it, host, "/book/coil", 200);
+                checkStatus(fleet, it, host, "/book/deep/coil", 503);
+            }
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RouteHostsTest);
+
+} // namespace Guavalock
--- a/Tests/Site/SiteFleet.cpp
+++ b/Tests/Site/SiteFleet.cpp
@@ -97,19 +97,31 @@
 
 void SiteFleet::configureOrganisations(std::uint64_t version, const std::string &value)
 {
+    writeConfiguration(version, "", value);
+}
+
+void SiteFleet::configureRoutes(std::uint64_t version, const std::string &routes)
+{
+    writeConfiguration(version, "," + routes, R"([{"name":"mill","api_keys":["k1","k2"]}])");
+}
+
+void SiteFleet::writeConfiguration(std::uint64_t version, const std::string &routes, const std::string &organisations)
+{
+    // Clients send "Host: h": the case of a host name does not matter.
     const std::string text = R"({"version":)" + std::to_string(version) + R"(,"routes":[
-        {"name":"safe","hostname":"h","path_prefix":"/safe/","type":"idempotent","timeout_ms":2000,"target_latency_ms":300,"service":"plain","max_attempts":2},
+        {"name":"safe","hostname":"H","path_prefix":"/safe/","type":"idempotent","timeout_ms":2000,"target_latency_ms":300,"service":"plain","max_attempts":2},
         {"name":"once","hostname":"h","path_prefix":"/once/","type":"non_idempotent","timeout_ms":2000,"target_latency_ms":300,"service":"plain","max_attempts":1},
-        {"name":"stream","hostname":"h","path_prefix":"/stream/","type":"streaming","timeout_ms":4000,"target_latency_ms":1000,"service":"model","max_attempts":1,
+        {"name":"stream","hostname":"H","path_prefix":"/stream/","type":"streaming","timeout_ms":4000,"target_latency_ms":1000,"service":"model","max_attempts":1,
          "session_affinity":true,"phases":[{"service":"stage","after":[],"byte_count":100},{"service":"stage","after":[0],"byte_count":100}]},
-        {"name":"patient","hostname":"h","path_prefix":"/patient/","type":"streaming","timeout_ms":20000,"target_latency_ms":6000,"service":"model","max_attempts":1,
+        {"name":"patient","hostname":"H","path_prefix":"/patient/","type":"streaming","timeout_ms":20000,"target_latency_ms":6000,"service":"model","max_attempts":1,
          "phases":[{"service":"stage","after":[],"byte_count":100},{"service":"stage","after":[0],"byte_count":100}]},
-        {"name":"brisk","hostname":"h","path_prefix":"/brisk-stream/","type":"streaming","timeout_ms":20000,"target_latency_ms":300,"service":"model","max_attempts":1},
-        {"name":"lasting","hostname":"h","path_prefix":"/lasting-stream/","type":"streaming","timeout_ms":20000,"target_latency_ms":12000,"service":"model","max_attempts":2,"resumable":true},
-        {"name":"resume","hostname":"h","path_prefix":"/streamed/","type":"streaming","timeout_ms":4000,"target_latency_ms":1000,"service":"model","max_attempts":2,"resumable":true},
-        {"name":"resume-twice","hostname":"h","path_prefix":"/streamed-twice/","type":"streaming","timeout_ms":4000,"target_latency_ms":1000,"service":"model","max_attempts":3,"resumable":true}],
+        {"name":"brisk","hostname":"H","path_prefix":"/brisk-stream/","type":"streaming","timeout_ms":20000,"target_latency_ms":300,"service":"model","max_attempts":1},
+        {"name":"lasting","hostname":"H","path_prefix":"/lasting-stream/","type":"streaming","timeout_ms":20000,"target_latency_ms":12000,"service":"model","max_attempts":2,"resumable":true},
+        {"name":"resume","hostname":"H","path_prefix":"/streamed/","type":"streaming","timeout_ms":4000,"target_latency_ms":1000,"service":"model","max_attempts":2,"resumable":true},
+        {"name":"resume-twice","hostname":"H","path_prefix":"/streamed-twice/","type":"streaming","timeout_ms":4000,"target_latency_ms":1000,"service":"model","max_attempts":3,"resumable":true})"
+        + routes + R"(],
         "services":[{"name":"plain","max_connections":8},{"name":"model","engine_id":{"capacity":64,"kv_capacity":400000}},{"name":"stage","fragments":{"capacity":1,"queue":2,"batch":8,"call_ms":30,"item_ms":1,"headroom_mb":1,"handle_s":4}}])"
-        + (value.empty() ? "" : ",\"tenants\":" + value) + "}";
+        + (organisations.empty() ? "" : ",\"tenants\":" + organisations) + "}";
     m_store->put("keyed.op", "config", text);
 }
 
--- a/Tests/Site/SiteFleet.h
+++ b/Tests/Site/SiteFleet.h
@@ -59,6 +59,9 @@
     /// As above, with the given JSON value in place of the list of organisations, or without that field if the value is empty.
     void configureOrganisations(std::uint64_t version, const std::string &value);
 
+    /// Publishes a configuration with further routes, as comma-separated JSON objects, and the API keys k1 and k2.
+    void configureRoutes(std::uint64_t version, const std::string &routes);
+
     void writeTarget(const std::string &name, const std::string &state, const std::string &version = "v1");
     void removeTarget(const std::string &name);
 
@@ -105,6 +108,9 @@
 
     static HttpRequest makeHttpRequest(const Request &request);
 
+    /// Takes the further routes as they follow the list of routes, and the organisations as configureOrganisations() does.
+    void writeConfiguration(std::uint64_t version, const std::string &routes, const std::string &organisations);
+
     struct TargetLocation {
         std::string service;
         std::uint16_t port = 0;
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -104,10 +104,11 @@
 
 void SoakRun::publishConfiguration(const std::string &keys)
 {
+    // Clients send "Host: h": the case of a host name does not matter.
     const std::string text = R"({"version":)" + std::to_string(++m_configurationVersion) + R"(,"routes":[
-        {"name":"safe","hostname":"h","path_prefix":"/safe/","type":"idempotent","timeout_ms":2000,"target_latency_ms":300,"service":"plain","max_attempts":2},
+        {"name":"safe","hostname":"H","path_prefix":"/safe/","type":"idempotent","timeout_ms":2000,"target_latency_ms":300,"service":"plain","max_attempts":2},
         {"name":"once","hostname":"h","path_prefix":"/once/","type":"non_idempotent","timeout_ms":2000,"target_latency_ms":300,"service":"plain","max_attempts":1},
-        {"name":"stream","hostname":"h","path_prefix":"/stream/","type":"streaming","timeout_ms":4000,"target_latency_ms":1000,"service":"model","max_attempts":1,
+        {"name":"stream","hostname":"H","path_prefix":"/stream/","type":"streaming","timeout_ms":4000,"target_latency_ms":1000,"service":"model","max_attempts":1,
          "phases":[{"service":"stage","after":[],"byte_count":100},{"service":"stage","after":[0],"byte_count":100}]}],
         "services":[{"name":"plain"},{"name":"model"},{"name":"stage","fragments":{"capacity":1,"queue":2,"batch":8,"call_ms":30,"item_ms":1,"headroom_mb":1,"handle_s":4}}],
         "tenants":[{"name":"mill","api_keys":[)"
