Forward the Host field as the client sent it

Callers: a target received "plain.example" where the client had sent "Plain.example:8080", and built addresses without the client's port.

Cause: the form that is compared was also the one that is sent on. Ruled out by reading: other paths; first attempts, retries and continued streams take their headers from the same function, and calls to stages and the store are the daemon's own requests.

Change: HostName::parse keeps the text of the field beside the form that is compared.

Result: RelayCodecTest::hostsAreForwardedAsSent failed before ("expected shop.example:8080, actual shop.example") and passes.

--- a/Source/Fleet/HostName.cpp
+++ b/Source/Fleet/HostName.cpp
@@ -14,6 +14,16 @@
 {
 }
 
+std::optional<HostName> HostName::parse(std::string_view text)
+{
+    HostName name(std::string(text.substr(0, text.find(':'))));
+    if (name.isEmpty()) {
+        return std::nullopt;
+    }
+    name.m_text = text;
+    return name;
+}
+
 const std::string &HostName::text() const
 {
     return m_text;
--- a/Source/Fleet/HostName.h
+++ b/Source/Fleet/HostName.h
@@ -1,20 +1,27 @@
 #pragma once
 
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace Guavalock
 {
 
 /// The name of a host, as a route of the configuration or a request states it.
 ///
-/// Keeps the name as it is written, and compares it regardless of the case of its letters (RFC 9110, section 4.2.3).
+/// Keeps the text as it is written, and compares the name regardless of the case of its letters (RFC 9110, section 4.2.3).
 class HostName
 {
 public:
     HostName() = default;
+
+    /// Takes the name of a route.
     explicit HostName(std::string text);
 
-    /// Returns the name as it is written, which logs and messages show.
+    /// Parses the value of a Host field, `HOST` or `HOST:PORT`. The port is not compared. Returns nothing if there is no host.
+    static std::optional<HostName> parse(std::string_view text);
+
+    /// Returns the text as it is written, with the port, which logs and messages show.
     const std::string &text() const;
 
     bool isEmpty() const;
--- a/Tests/Relay/RelayCodecTest.cpp
+++ b/Tests/Relay/RelayCodecTest.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST_SUITE(RelayCodecTest);
     CPPUNIT_TEST(reservedClientHeadersAreDropped);
     CPPUNIT_TEST(hopByHopHeadersAreDroppedExceptProtected);
+    CPPUNIT_TEST(hostsAreForwardedAsSent);
     CPPUNIT_TEST(requestsRequireIdHostAndAbsolutePath);
     CPPUNIT_TEST(responsesIndicateExecution);
     CPPUNIT_TEST(loadReportsMayStateTheDurationOfWork);
@@ -114,6 +115,18 @@
         CPPUNIT_ASSERT_EQUAL(std::string("m"), value(it.headers, "X-Guavalock-Model-Id"));
     }
 
+    /// Guards against targets that build addresses from a Host field without the client's port or spelling.
+    void hostsAreForwardedAsSent()
+    {
+        for (const std::string host : {"shop.example", "Shop.Example", "shop.example:8080", "SHOP.example:80"}) {
+            RelayCodec::RequestHead head = this->head();
+            head.set("Host", host);
+            const HttpFields sent = PlatformRelayCodec().upstreamHeaders(request(head), UpstreamParameters());
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), count(sent, "Host"));
+            CPPUNIT_ASSERT_EQUAL(host, value(sent, "Host"));
+        }
+    }
+
     void requestsRequireIdHostAndAbsolutePath()
     {
         Reason reason;
