Read the hosts of routes and requests with their ports

Callers: a route whose host is an IPv6 address or has a port was never served; its requests got 404.

Cause: the client's host was cut at its first colon and the route's was not cut, so "[::1]" was looked up as "[", and "with-port.example" did not find "with-port.example:8443". Ruled out: a field that is not received; the request was answered by the lookup of its route.

Change: HostName::parse reads both by RFC 3986, section 3.2. IPv6 addresses are compared by value. A route without a port serves all ports, as before; a route with a port serves requests that name it or none.

--- a/Source/Fleet/Catalogue.cpp
+++ b/Source/Fleet/Catalogue.cpp
@@ -24,6 +24,12 @@
     return std::ranges::all_of(made, std::identity());
 }
 
+/// Returns whether a request may name the port of a route. A host without a port stands for all of its ports.
+bool portsAgree(std::optional<std::uint16_t> routePort, std::optional<std::uint16_t> requestPort)
+{
+    return !routePort || !requestPort || *routePort == *requestPort;
+}
+
 } // namespace
 
 bool Catalogue::valid(const Content &content, Reason &reason)
@@ -87,8 +93,20 @@
     if (routes == m_routesByHost.end()) {
         return nullptr;
     }
-    const auto it = std::ranges::find_if(routes->second, [&](const RouteRecord *route) { return path.starts_with(route->prefix); });
-    return it == routes->second.end() ? nullptr : *it;
+    const RouteRecord *best = nullptr;
+    for (const RouteRecord *it : routes->second) {
+        if (best != nullptr && it->prefix.size() < best->prefix.size()) {
+            break;
+        }
+        if (!path.starts_with(it->prefix) || !portsAgree(it->host.port(), host.port())) {
+            continue;
+        }
+        if (it->host.port() == host.port()) {
+            return it;
+        }
+        best = best != nullptr ? best : it;
+    }
+    return best;
 }
 
 const ServiceRecord *Catalogue::service(const std::string &name) const
--- a/Source/Fleet/Catalogue.h
+++ b/Source/Fleet/Catalogue.h
@@ -38,6 +38,9 @@
     const CallerLimits &limits() const;
 
     /// Returns the route of the host with the longest prefix that matches the path, or null.
+    ///
+    /// A route whose host has a port does not serve requests that name another port. Of equal prefixes, a route with the port of the
+    /// request is preferred, then the one that stands first in the configuration.
     const RouteRecord *route(const HostName &host, std::string_view path) const;
 
     const ServiceRecord *service(const std::string &name) const;
--- a/Source/Fleet/HostName.cpp
+++ b/Source/Fleet/HostName.cpp
@@ -1,29 +1,99 @@
 #include "Fleet/HostName.h"
 
 #include <boost/algorithm/string/case_conv.hpp>
+#include <boost/asio/ip/address_v6.hpp>
 
+#include <algorithm>
+#include <charconv>
 #include <locale>
 #include <utility>
 
 namespace Guavalock
 {
 
+namespace
+{
+
+std::string lowerCase(std::string_view text)
+{
+    return boost::algorithm::to_lower_copy(std::string(text), std::locale::classic());
+}
+
+/// Returns whether a name may hold a character. Percent signs begin an encoded character, and bytes outside ASCII are accepted because
+/// clients send names that are not encoded.
+bool isNameCharacter(char it)
+{
+    static constexpr std::string_view punctuation = "-._~!$&'()*+,;=%";
+    const bool isAlphanumeric = (it >= 'a' && it <= 'z') || (it >= 'A' && it <= 'Z') || (it >= '0' && it <= '9');
+    return isAlphanumeric || punctuation.find(it) != std::string_view::npos || static_cast<unsigned char>(it) >= 0x80U;
+}
+
+/// Returns the form of a name (`reg-name` or `IPv4address`) that is compared, or an empty string if it is malformed.
+std::string comparedName(std::string_view name)
+{
+    return std::ranges::all_of(name, &isNameCharacter) ? lowerCase(name) : std::string();
+}
+
+/// As above, for an IPv6 address in brackets. Scopes mean nothing outside of a machine.
+std::string comparedAddress(std::string_view literal)
+{
+    if (!literal.ends_with(']')) {
+        return {};
+    }
+    const std::string address(literal.substr(1, literal.size() - 2));
+    boost::system::error_code ec;
+    const auto value = boost::asio::ip::make_address_v6(address, ec);
+    return ec || address.find('%') != std::string::npos ? std::string() : '[' + value.to_string() + ']';
+}
+
+/// Parses what follows a host. Returns false unless it is nothing, or a colon with a TCP port or without one.
+bool parsePort(std::string_view text, std::optional<std::uint16_t> &port)
+{
+    if (text.empty() || text == ":") {
+        return true;
+    }
+    std::uint16_t value = 0;
+    const char *end = text.data() + text.size();
+    const auto [rest, error] = std::from_chars(text.data() + 1, end, value);
+    port = value;
+    return text.front() == ':' && error == std::errc() && rest == end;
+}
+
+} // namespace
+
 HostName::HostName(std::string text)
     : m_text(std::move(text))
-    , m_comparedForm(boost::algorithm::to_lower_copy(m_text, std::locale::classic()))
 {
+    // Configurations may state an IPv6 address without the brackets that separate it from a port.
+    for (const std::string &it : {m_text, '[' + m_text + ']'}) {
+        if (const std::optional<HostName> name = parse(it)) {
+            m_comparedForm = name->m_comparedForm;
+            m_port = name->m_port;
+            return;
+        }
+    }
+    m_comparedForm = lowerCase(m_text);
 }
 
 std::optional<HostName> HostName::parse(std::string_view text)
 {
-    HostName name(std::string(text.substr(0, text.find(':'))));
-    if (name.isEmpty()) {
+    const bool isLiteral = text.starts_with('[');
+    const std::size_t portBegin = std::min(text.find(':', isLiteral ? text.find(']') : 0), text.size());
+    const std::string_view host = text.substr(0, portBegin);
+    HostName name;
+    name.m_text = text;
+    name.m_comparedForm = isLiteral ? comparedAddress(host) : comparedName(host);
+    if (name.m_comparedForm.empty() || !parsePort(text.substr(portBegin), name.m_port)) {
         return std::nullopt;
     }
-    name.m_text = text;
     return name;
 }
 
+std::optional<std::uint16_t> HostName::port() const
+{
+    return m_port;
+}
+
 const std::string &HostName::text() const
 {
     return m_text;
--- a/Tests/Site/RouteHostsTest.cpp
+++ b/Tests/Site/RouteHostsTest.cpp
@@ -11,6 +11,8 @@
     CPPUNIT_TEST_SUITE(RouteHostsTest);
     CPPUNIT_TEST(addedRoutesWithCapitalsInTheirHostAreServed);
     CPPUNIT_TEST(hostsThatDifferInCaseShareTheirRoutes);
+    CPPUNIT_TEST(hostsWithIpv6AddressesAreServed);
+    CPPUNIT_TEST(hostsWithPortsAreServed);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t daemonCount = 2;
@@ -82,6 +84,40 @@
             }
         }
     }
+
+    /// Guards against hosts that are cut at the first colon of an IPv6 address.
+    void hostsWithIpv6AddressesAreServed()
+    {
+        SiteFleet fleet(daemonCount);
+        fleet.start();
+        fleet.configureRoutes(2,
+                              route("literal", "[2001:DB8::1]", "/book/") + "," + route("bare", "2001:db8::2", "/book/") + ","
+                                  + route("marker", "marker.example", "/"));
+        awaitConfiguration(fleet);
+        for (const std::string host : {"[2001:db8::1]", "[2001:db8::1]:8080", "[2001:DB8:0:0::0001]", "[2001:db8::2]"}) {
+            checkStatus(fleet, 1, host, "/book/coil", 200);
+        }
+        checkStatus(fleet, 1, "[2001:db8::3]", "/book/coil", 404);
+    }
+
+    /// Guards against routes that no request reaches because their host has a port, and against requests that reach the route of another
+    /// port. The service of a route that must not be selected does not exist.
+    void hostsWithPortsAreServed()
+    {
+        SiteFleet fleet(daemonCount);
+        fleet.start();
+        fleet.configureRoutes(2,
+                              route("any", "desk.example", "/any/", "none") + "," + route("one", "desk.example:8443", "/any/") + ","
+                                  + route("only", "Desk.example:8443", "/only/") + "," + route("marker", "marker.example", "/"));
+        awaitConfiguration(fleet);
+        checkStatus(fleet, 0, "desk.example:8443", "/only/x", 200);
+        checkStatus(fleet, 0, "DESK.example:8443", "/only/x", 200);
+        checkStatus(fleet, 0, "desk.example", "/only/x", 200);
+        checkStatus(fleet, 0, "desk.example:80", "/only/x", 404);
+        checkStatus(fleet, 0, "desk.example:8443", "/any/x", 200);
+        checkStatus(fleet, 0, "desk.example", "/any/x", 503);
+        checkStatus(fleet, 0, "desk.example:", "/any/x", 503);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RouteHostsTest);
