Serve routes to clients whose host name ends with a dot

Callers: "Host: plain.example." got 404 on a route of "plain.example", and the reverse.

Cause: the dot that ends an absolute name (RFC 3986, section 3.2.2) was compared like any other character.

Change: HostName compares names without one dot at their end. The field is forwarded as sent.

Result: HostNameTest::namesMayEndWithADot failed before and passes.

--- a/Source/Fleet/HostName.cpp
+++ b/Source/Fleet/HostName.cpp
@@ -31,7 +31,12 @@
 /// Returns the form of a name (`reg-name` or `IPv4address`) that is compared, or an empty string if it is malformed.
 std::string comparedName(std::string_view name)
 {
-    return std::ranges::all_of(name, &isNameCharacter) ? lowerCase(name) : std::string();
+    if (!std::ranges::all_of(name, &isNameCharacter)) {
+        return {};
+    }
+    // The dot of the root domain ends an absolute name (RFC 3986, section 3.2.2). No name ends with two dots.
+    const bool isAbsolute = name.size() > 1 && name.ends_with('.') && !name.ends_with("..");
+    return lowerCase(isAbsolute ? name.substr(0, name.size() - 1) : name);
 }
 
 /// As above, for an IPv6 address in brackets. Scopes mean nothing outside of a machine.
--- a/Source/Fleet/HostName.h
+++ b/Source/Fleet/HostName.h
@@ -10,8 +10,8 @@
 
 /// The name or IP address of a host with an optional port, as a route of the configuration or a request states it.
 ///
-/// Keeps the text as it is written, and compares hosts (RFC 3986, section 3.2.2): names regardless of case, and IPv6 addresses by their
-/// value. The port is not compared.
+/// Keeps the text as it is written, and compares hosts (RFC 3986, section 3.2.2): names regardless of case and of a dot at their end, and
+/// IPv6 addresses by their value. The port is not compared.
 class HostName
 {
 public:
--- a/Tests/Fleet/HostNameTest.cpp
+++ b/Tests/Fleet/HostNameTest.cpp
@@ -10,6 +10,7 @@
 {
     CPPUNIT_TEST_SUITE(HostNameTest);
     CPPUNIT_TEST(hostsAreComparedByTheirMeaning);
+    CPPUNIT_TEST(namesMayEndWithADot);
     CPPUNIT_TEST(portsAreRead);
     CPPUNIT_TEST_SUITE_END();
 
@@ -41,6 +42,17 @@
         CPPUNIT_ASSERT(HostName("").isEmpty());
     }
 
+    /// Guards against clients that state an absolute name, with the dot of the root domain, and miss the route.
+    void namesMayEndWithADot()
+    {
+        checkEqual("shop.example", "shop.example.", true);
+        checkEqual("shop.example.", "shop.example", true);
+        checkEqual("shop.example.:80", "Shop.Example.", true);
+        checkEqual("127.0.0.9", "127.0.0.9.", true);
+        checkEqual("shop.example", "shop.example..", false);
+        checkEqual("shop.example", ".", false);
+    }
+
     void portsAreRead()
     {
         CPPUNIT_ASSERT(HostName("shop.example:8443").port() == 8443);
