--- a/Tests/Site/RouteHostsTest.cpp
+++ b/Tests/Site/RouteHostsTest.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(hostsThatDifferInCaseShareTheirRoutes);
     CPPUNIT_TEST(hostsWithIpv6AddressesAreServed);
     CPPUNIT_TEST(hostsWithPortsAreServed);
+    CPPUNIT_TEST(improperHostFieldsAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t daemonCount = 2;
@@ -118,6 +119,30 @@
         checkStatus(fleet, 0, "desk.example", "/any/x", 503);
         checkStatus(fleet, 0, "desk.example:", "/any/x", 503);
     }
+
+    /// Guards against requests whose route depends on which of two Host fields a receiver takes, or on how it reads a malformed one.
+    void improperHostFieldsAreRejected()
+    {
+        SiteFleet fleet(1);
+        fleet.start();
+        int number = 0;
+        const auto statusOf = [&](const std::string &fields) {
+            const std::string id = "improper-" + std::to_string(++number);
+            const SiteFleet::Response response = fleet.sendBytes(
+                0, "POST /once/x HTTP/1.1\r\n" + fields + "X-Guavalock-Attempt-Id: " + id + "\r\nApi-Key: k1\r\nContent-Length: 0\r\n\r\n");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(fields, response.status == 200 ? std::size_t(1) : std::size_t(0), fleet.executionCount(id));
+            return response.status;
+        };
+        CPPUNIT_ASSERT_EQUAL(200U, statusOf("Host: h\r\n"));
+        for (const std::string fields :
+             {"", "Host:\r\n", "Host: h\r\nHost: other.example\r\n", "Host: other.example\r\nHost: h\r\n", "Host: h\r\nhost: h\r\n",
+              "Host: h:abc\r\n", "Host: h:80:80\r\n", "Host: h:99999\r\n", "Host: user@h\r\n", "Host: h/once\r\n", "Host: h h\r\n",
+              "Host: [::1\r\n", "Host: ::1\r\n", "Host: http://h\r\n"}) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(fields, 400U, statusOf(fields));
+        }
+        // A comma may be part of a name.
+        CPPUNIT_ASSERT_EQUAL(404U, statusOf("Host: h,other.example\r\n"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RouteHostsTest);
