--- a/Tests/Relay/RelayCodecTest.cpp
+++ b/Tests/Relay/RelayCodecTest.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(reservedClientHeadersAreDropped);
     CPPUNIT_TEST(hopByHopHeadersAreDroppedExceptProtected);
     CPPUNIT_TEST(hostsAreForwardedAsSent);
+    CPPUNIT_TEST(targetsInAbsoluteFormNameTheHost);
     CPPUNIT_TEST(requestsRequireIdHostAndAbsolutePath);
     CPPUNIT_TEST(responsesIndicateExecution);
     CPPUNIT_TEST(loadReportsMayStateTheDurationOfWork);
@@ -127,6 +128,33 @@
         }
     }
 
+    /// Guards against the rejection of clients that treat the daemon like a proxy, and against a host that is taken from two places.
+    void targetsInAbsoluteFormNameTheHost()
+    {
+        const std::map<std::string, std::pair<std::string, std::string>> forms{
+            {"http://Desk.example:8080/a/b?c=d", {"Desk.example:8080", "/a/b?c=d"}},
+            {"HTTPS://desk.example/A", {"desk.example", "/A"}},
+            {"http://[::1]?x", {"[::1]", "/?x"}},
+            {"http://desk.example", {"desk.example", "/"}},
+            {"/http://desk.example/", {"Shop.example:80", "/http://desk.example/"}}};
+        for (const auto &[target, expected] : forms) {
+            RelayCodec::RequestHead head = this->head();
+            head.target(target);
+            const OpaqueRequest it = request(head);
+            CPPUNIT_ASSERT_EQUAL(expected.first, it.host.text());
+            CPPUNIT_ASSERT_EQUAL(expected.second, it.requestTarget);
+            CPPUNIT_ASSERT_EQUAL(expected.first, value(PlatformRelayCodec().upstreamHeaders(it, UpstreamParameters()), "Host"));
+        }
+        for (const std::string target : {"http://", "http:///a", "http:/a", "http://user@desk.example/a", "http://desk.example:x/a",
+                                         "ftp://desk.example/a", "desk.example/a", "desk.example:80"}) {
+            RelayCodec::RequestHead head = this->head();
+            head.target(target);
+            Reason reason;
+            CPPUNIT_ASSERT_MESSAGE(target, !PlatformRelayCodec().parseRequest(head, reason));
+            CPPUNIT_ASSERT(reason.code == ResultCode::MalformedRequest);
+        }
+    }
+
     void requestsRequireIdHostAndAbsolutePath()
     {
         Reason reason;
--- a/Tests/Site/RouteHostsTest.cpp
+++ b/Tests/Site/RouteHostsTest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(hostsWithIpv6AddressesAreServed);
     CPPUNIT_TEST(hostsWithPortsAreServed);
     CPPUNIT_TEST(improperHostFieldsAreRejected);
+    CPPUNIT_TEST(targetsInAbsoluteFormReplaceTheHostField);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t daemonCount = 2;
@@ -143,6 +144,23 @@
         // A comma may be part of a name.
         CPPUNIT_ASSERT_EQUAL(404U, statusOf("Host: h,other.example\r\n"));
     }
+
+    /// Guards against a request in absolute form that is rejected, or served on the route of its Host field.
+    void targetsInAbsoluteFormReplaceTheHostField()
+    {
+        SiteFleet fleet(1);
+        fleet.start();
+        const auto statusOf = [&](const std::string &target, const std::string &host) {
+            return fleet
+                .sendBytes(0,
+                           "POST " + target + " HTTP/1.1\r\nHost: " + host
+                               + "\r\nX-Guavalock-Attempt-Id: absolute\r\nApi-Key: k1\r\nContent-Length: 0\r\n\r\n")
+                .status;
+        };
+        CPPUNIT_ASSERT_EQUAL(200U, statusOf("http://H:8080/safe/x", "other.example"));
+        CPPUNIT_ASSERT_EQUAL(404U, statusOf("http://other.example/safe/x", "h"));
+        CPPUNIT_ASSERT_EQUAL(400U, statusOf("http://h/safe/x", "h:x"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RouteHostsTest);
