--- a/Tests/Relay/RelayCodecTest.cpp
+++ b/Tests/Relay/RelayCodecTest.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(malformedStatementsAreIgnoredOrBounded);
     CPPUNIT_TEST(limitsOfTargetsAreDecoded);
     CPPUNIT_TEST(mediaTypesAreComparable);
+    CPPUNIT_TEST(contentCodingsAreCaseInsensitive);
     CPPUNIT_TEST(refusalStatusDoesNotClaimNonExecution);
     CPPUNIT_TEST(lastPromptPartIsNotShared);
     CPPUNIT_TEST(batchResultsMatchPieceOrder);
@@ -287,6 +288,21 @@
         }
     }
 
+    /// Guards against a complete response that is taken for an encoded one, and given up, because of the case of "identity".
+    void contentCodingsAreCaseInsensitive()
+    {
+        RelayCodec::ResponseHead head;
+        CPPUNIT_ASSERT(!PlatformRelayCodec().parseResponse(head).hasContentEncoding);
+        for (const std::string value : {"identity", "Identity", "IDENTITY"}) {
+            head.set("Content-Encoding", value);
+            CPPUNIT_ASSERT_MESSAGE(value, !PlatformRelayCodec().parseResponse(head).hasContentEncoding);
+        }
+        for (const std::string value : {"gzip", "GZIP", "identity, gzip", "identityx"}) {
+            head.set("Content-Encoding", value);
+            CPPUNIT_ASSERT_MESSAGE(value, PlatformRelayCodec().parseResponse(head).hasContentEncoding);
+        }
+    }
+
     void refusalStatusDoesNotClaimNonExecution()
     {
         const PlatformRelayCodec codec;
