Compare the Expect field of requests regardless of case

Callers: a client that sends "Expect: 100-Continue" and waits for the interim response got none; its connection was closed after 10 s without an answer, if it did not give up waiting before.

The field is case-insensitive (RFC 9110, section 10.1.1), and the bytes were compared.

Result: ContinueTest::clientsThatExpectAnInterimResponseGetOne failed before (no response to "100-Continue") and passes.

--- a/Source/Relay/RelaySession.cpp
+++ b/Source/Relay/RelaySession.cpp
@@ -17,6 +17,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/status.hpp>
@@ -119,7 +120,7 @@
     if (parser.is_done()) {
         co_return true;
     }
-    if (parser.get()[Http::field::expect] == "100-continue") {
+    if (boost::beast::iequals(parser.get()[Http::field::expect], "100-continue")) {
         co_await write("HTTP/1.1 100 Continue\r\n\r\n");
     }
     const DeadlineTimer timer(m_socket.get_executor(), m_context.clock.now() + bodyTimeout, [this] { m_socket.close(); });
