Compare the media types that clients accept regardless of case

Callers: a client of the product's own interface that sends "Accept: Text/Event-Stream" got the whole response at its end, not a stream.

Media types are case-insensitive (RFC 9110, section 8.3.1), and the bytes were compared.

Result: MediaTypesTest::eventStreamsAreSentInAnyCaseOfTheirMediaType failed before (application/json) and passes.

--- a/Source/FrontEnds/CallerFrontEnd.cpp
+++ b/Source/FrontEnds/CallerFrontEnd.cpp
@@ -13,6 +13,7 @@
 #include "Pipeline/PipelineRunner.h"
 #include "Settings/ProcessSettings.h"
 
+#include <boost/algorithm/string/predicate.hpp>
 #include <boost/json/serialize.hpp>
 
 #include <atomic>
@@ -69,7 +70,7 @@
         }
         request->id = m_context.daemon.incarnation + "-" + std::to_string(++m_requests);
         request->received = m_context.daemon.clock.now();
-        if (exchange.header("Accept").find(eventStreamType) != std::string_view::npos) {
+        if (boost::algorithm::icontains(exchange.header("Accept"), eventStreamType)) {
             co_await sendEventStream(exchange, std::move(*request));
         } else {
             co_await sendCompleteResponse(exchange, std::move(*request));
