--- a/Source/Fleet/Catalogue.cpp
+++ b/Source/Fleet/Catalogue.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <tuple>
 
 namespace Guavalock
 {
@@ -109,6 +110,32 @@
     return best;
 }
 
+bool Catalogue::hasHost(const HostName &host) const
+{
+    return m_routesByHost.contains(host);
+}
+
+std::vector<std::string> Catalogue::describeUnreachableRoutes() const
+{
+    std::vector<std::string> descriptions;
+    std::map<std::tuple<HostName, std::optional<std::uint16_t>, std::string_view>, const RouteRecord *> selected;
+    for (const RouteRecord &it : m_content.routes) {
+        const auto [first, isNew] = selected.emplace(std::tuple(it.host, it.host.port(), std::string_view(it.prefix)), &it);
+        std::string cause;
+        if (!it.host.isWellFormed()) {
+            cause = "its host \"" + it.host.text() + "\" is malformed";
+        } else if (!it.prefix.starts_with('/')) {
+            cause = "its path prefix does not begin with a slash";
+        } else if (!isNew) {
+            cause = "route " + first->second->name + " has the same host and path prefix";
+        }
+        if (!cause.empty()) {
+            descriptions.push_back("route " + it.name + ": " + cause);
+        }
+    }
+    return descriptions;
+}
+
 const ServiceRecord *Catalogue::service(const std::string &name) const
 {
     const auto it = m_servicesByName.find(name);
--- a/Source/Fleet/Catalogue.h
+++ b/Source/Fleet/Catalogue.h
@@ -43,6 +43,12 @@
     /// request is preferred, then the one that stands first in the configuration.
     const RouteRecord *route(const HostName &host, std::string_view path) const;
 
+    /// Returns whether any route has the host.
+    bool hasHost(const HostName &host) const;
+
+    /// Returns for each route that no request can select its name and the cause.
+    std::vector<std::string> describeUnreachableRoutes() const;
+
     const ServiceRecord *service(const std::string &name) const;
 
     /// Returns the names of the services that process stages.
--- a/Source/Fleet/FleetFollower.cpp
+++ b/Source/Fleet/FleetFollower.cpp
@@ -12,6 +12,7 @@
 #include "Kernel/Log.h"
 #include "Kernel/Metrics.h"
 
+#include <boost/algorithm/string/join.hpp>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -64,6 +65,22 @@
 constexpr Milliseconds maxPublishDelay{1'000}; ///< Spreads the writes of all daemons. Their links don't depend on the records.
 constexpr Milliseconds recoveryTime{2'000}; ///< Time after an outage of the store by which live targets have renewed their records.
 
+/// Warns of routes that no request can select, in one line however many there are.
+void logUnreachableRoutes(const Catalogue &catalogue)
+{
+    constexpr std::size_t maxDescribed = 5;
+    std::vector<std::string> routes = catalogue.describeUnreachableRoutes();
+    if (routes.empty()) {
+        return;
+    }
+    const std::size_t count = routes.size();
+    routes.resize(std::min(count, maxDescribed));
+    Log::warning("fleet", "routes-unreachable",
+                 {{"version", std::to_string(catalogue.version())},
+                  {"count", std::to_string(count)},
+                  {"routes", boost::algorithm::join(routes, "; ")}});
+}
+
 } // namespace
 
 FleetFollower::FleetFollower(Asio::any_io_executor executor, Dependencies dependencies, Callbacks callbacks, StoreFactory storeFactory)
@@ -301,6 +318,7 @@
                       {{"version", std::to_string((*catalogue)->version())},
                        {"offset", std::to_string(record.offset)},
                        {"api_keys", (*catalogue)->requiresApiKey() ? "required" : "none"}});
+            logUnreachableRoutes(**catalogue);
         }
         return;
     }
--- a/Source/Fleet/HostName.cpp
+++ b/Source/Fleet/HostName.cpp
@@ -74,6 +74,7 @@
         if (const std::optional<HostName> name = parse(it)) {
             m_comparedForm = name->m_comparedForm;
             m_port = name->m_port;
+            m_isWellFormed = true;
             return;
         }
     }
@@ -91,6 +92,7 @@
     if (name.m_comparedForm.empty() || !parsePort(text.substr(portBegin), name.m_port)) {
         return std::nullopt;
     }
+    name.m_isWellFormed = true;
     return name;
 }
 
@@ -104,9 +106,9 @@
     return m_text;
 }
 
-bool HostName::isEmpty() const
+bool HostName::isWellFormed() const
 {
-    return m_text.empty();
+    return m_isWellFormed;
 }
 
 bool HostName::operator==(const HostName &other) const
--- a/Source/Fleet/HostName.h
+++ b/Source/Fleet/HostName.h
@@ -30,7 +30,8 @@
     /// Returns the text as it is written, with the port, which logs and messages show.
     const std::string &text() const;
 
-    bool isEmpty() const;
+    /// Returns whether the text has the form of a host. A request never names another one.
+    bool isWellFormed() const;
 
     bool operator==(const HostName &other) const;
 
@@ -41,6 +42,7 @@
     std::string m_text;
     std::string m_comparedForm; ///< The same for equal hosts.
     std::optional<std::uint16_t> m_port;
+    bool m_isWellFormed = false;
 };
 
 } // namespace Guavalock
--- a/Tests/Fleet/FleetTest.cpp
+++ b/Tests/Fleet/FleetTest.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST_SUITE(FleetTest);
     CPPUNIT_TEST(longestPrefixOfTheHostWins);
     CPPUNIT_TEST(routesOfOneHostMaySpellItDifferently);
+    CPPUNIT_TEST(routesThatNoRequestReachesAreDescribed);
     CPPUNIT_TEST(olderRecordsNeverReplaceNewerOnes);
     CPPUNIT_TEST(keysMissingFromACompleteUpdateAreDeleted);
     CPPUNIT_TEST(recordsOfAPeerKeepTheirAge);
@@ -142,6 +143,26 @@
         CPPUNIT_ASSERT_EQUAL(std::string("Shop.Example"), catalogue.route(HostName("shop.example"), "/a/c")->host.text());
     }
 
+    /// Guards against routes that answer 404 for good without a word to the operator.
+    void routesThatNoRequestReachesAreDescribed()
+    {
+        Catalogue::Content content;
+        for (const auto &[name, host, prefix] :
+             {std::tuple("a", "Shop.example", "/a/"), std::tuple("b", "shop.example", "/b/"), std::tuple("c", "shop.example:80", "/a/"),
+              std::tuple("d", "shop.EXAMPLE.", "/a/"), std::tuple("e", "shop example", "/a/"), std::tuple("f", "", "/a/"),
+              std::tuple("g", "shop.example", "a/")}) {
+            RouteRecord route;
+            route.name = name;
+            route.host = HostName(host);
+            route.prefix = prefix;
+            content.routes.push_back(route);
+        }
+        const std::vector<std::string> expected{"route d: route a has the same host and path prefix",
+                                                "route e: its host \"shop example\" is malformed", "route f: its host \"\" is malformed",
+                                                "route g: its path prefix does not begin with a slash"};
+        CPPUNIT_ASSERT(Catalogue(content).describeUnreachableRoutes() == expected);
+    }
+
     void olderRecordsNeverReplaceNewerOnes()
     {
         RecordMirror mirror;
--- a/Tests/Fleet/HostNameTest.cpp
+++ b/Tests/Fleet/HostNameTest.cpp
@@ -39,7 +39,8 @@
         checkEqual("::1", "1", false);
         CPPUNIT_ASSERT(!HostName::parse(""));
         CPPUNIT_ASSERT(!HostName::parse(":80"));
-        CPPUNIT_ASSERT(HostName("").isEmpty());
+        CPPUNIT_ASSERT(!HostName("").isWellFormed() && !HostName("shop example").isWellFormed());
+        CPPUNIT_ASSERT(HostName("2001:db8::1").isWellFormed() && HostName("Shop.example.:80").isWellFormed());
     }
 
     /// Guards against clients that state an absolute name, with the dot of the root domain, and miss the route.
--- a/Tests/Site/RouteHostsTest.cpp
+++ b/Tests/Site/RouteHostsTest.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(hostsThatDifferInCaseShareTheirRoutes);
     CPPUNIT_TEST(hostsWithIpv6AddressesAreServed);
     CPPUNIT_TEST(hostsWithPortsAreServed);
+    CPPUNIT_TEST(refusalsNameTheHostThatWasLookedUp);
     CPPUNIT_TEST(improperHostFieldsAreRejected);
     CPPUNIT_TEST(targetsInAbsoluteFormReplaceTheHostField);
     CPPUNIT_TEST_SUITE_END();
@@ -121,6 +122,22 @@
         checkStatus(fleet, 0, "desk.example:", "/any/x", 503);
     }
 
+    /// Guards against a 404 that does not tell which host was looked up.
+    void refusalsNameTheHostThatWasLookedUp()
+    {
+        SiteFleet fleet(1);
+        fleet.start();
+        const auto reasonIs = [&](const std::string &host, const std::string &path, const std::string &reason) {
+            const SiteFleet::Response response = send(fleet, 0, host, path);
+            CPPUNIT_ASSERT_EQUAL(404U, response.status);
+            CPPUNIT_ASSERT_MESSAGE(response.body, response.body.find("\"reason\":\"" + reason + "\"") != std::string::npos);
+        };
+        reasonIs("Other.example:80", "/safe/x", "no route has the host Other.example:80");
+        reasonIs("\xfc", "/safe/x", "no route has the host %FC");
+        reasonIs(std::string(1'000, 'x'), "/safe/x", "no route has the host " + std::string(259, 'x'));
+        reasonIs("H", "/none/x", "no route of host H matches the path and the port");
+    }
+
     /// Guards against requests whose route depends on which of two Host fields a receiver takes, or on how it reads a malformed one.
     void improperHostFieldsAreRejected()
     {
