Build the record fuzzer with HostName

The fuzzer looks up a route and links single sources, so it did not build since routes hold a HostName.

--- a/Source/Fleet/HostName.cpp
+++ b/Source/Fleet/HostName.cpp
@@ -19,8 +19,8 @@
     return boost::algorithm::to_lower_copy(std::string(text), std::locale::classic());
 }
 
-/// Returns whether a name may hold a character. Percent signs begin an encoded character, and bytes outside ASCII are accepted because
-/// clients send names that are not encoded.
+/// Returns whether a name may hold a character (RFC 3986, section 3.2.2). Bytes outside ASCII are accepted because clients send names that
+/// are not encoded.
 bool isNameCharacter(char it)
 {
     static constexpr std::string_view punctuation = "-._~!$&'()*+,;=%";
--- a/Source/Fleet/HostName.h
+++ b/Source/Fleet/HostName.h
@@ -30,7 +30,7 @@
     /// Returns the text as it is written, with the port, which logs and messages show.
     const std::string &text() const;
 
-    /// Returns whether the text has the form of a host. A request never names another one.
+    /// Returns whether the text has the form of a host. Requests with a text of another form are rejected.
     bool isWellFormed() const;
 
     bool operator==(const HostName &other) const;
--- a/Tests/Fuzz/RecordFuzzer.cpp
+++ b/Tests/Fuzz/RecordFuzzer.cpp
@@ -49,7 +49,7 @@
     const auto change = PlatformRecordCodec().operatorChange("config", text, reason);
     require(change || !reason.text.empty());
     if (change) {
-        std::get<std::shared_ptr<const Catalogue>>(*change)->route("h", "/a/b");
+        std::get<std::shared_ptr<const Catalogue>>(*change)->route(HostName("h"), "/a/b");
     }
 }
 
